--- /dev/null
+++ b/src/fuchsiaspool/__init__.py
@@ -0,0 +1,1 @@
+"""Control overload across service call graphs."""
--- /dev/null
+++ b/src/fuchsiaspool/chains.py
@@ -0,0 +1,159 @@
+"""Put filters and controllers together into a node's two chains."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .calls import Call, Filter, Next, compose
+from .clock import Clock
+from .controllers.admission import Admission
+from .controllers.balancer import Balancer, Place
+from .controllers.buckets import TokenBucket
+from .controllers.counters import Counters
+from .controllers.histograms import Histograms
+from .controllers.members import Member, MemberTable
+from .controllers.retries import Grants, RetryRatio
+from .controllers.threshold import LearnedThresholds
+from .filters.admission import make_admission
+from .filters.budget import make_budget
+from .filters.classification import make_classification
+from .filters.deadline import make_deadline
+from .filters.observation import make_observation
+from .filters.routing import make_routing
+from .filters.shedding import make_shedding
+from .ids import Revision
+from .outcomes import NotRunReason, Outcome
+from .settings.policy import Limits, Policy
+
+# Seconds of the link's rate that may be sent at once.
+LINK_DEPTH_SECONDS = 2.0
+
+
+class PolicyHolder:
+    """Hold the policy in force and tell those who depend on it of a new one."""
+
+    def __init__(self) -> None:
+        self.current = Policy(Revision(0), {}, {})
+        self._listeners: list[Callable[[Policy], None]] = []
+
+    def get(self) -> Policy:
+        """Return the policy in force."""
+        return self.current
+
+    def listen(self, listener: Callable[[Policy], None]) -> None:
+        """Call a function with each policy that comes into force."""
+        self._listeners.append(listener)
+
+    def put(self, policy: Policy) -> bool:
+        """Put a newer policy in force; tell if it was newer."""
+        if policy.revision <= self.current.revision:
+            return False
+        self.current = policy
+        for listener in self._listeners:
+            listener(policy)
+        return True
+
+
+@dataclass(slots=True)
+class Core:
+    """Hold the controllers and chains of one node, without any transport."""
+
+    place: Place
+    policies: PolicyHolder
+    members: MemberTable
+    admission: Admission
+    balancer: Balancer
+    learned: LearnedThresholds
+    link: TokenBucket
+    histograms: Histograms
+    counters: Counters
+    inbound: Next
+    outbound: Next
+
+
+@dataclass(frozen=True, slots=True)
+class CoreParts:
+    """Hold what a core is built from: time, chance, and how calls travel."""
+
+    clock: Clock
+    place: Place
+    chance: random.Random
+    dispatch: Next
+    remote: Callable[[Member, Call], Outcome]
+    find_refusal: Callable[[], NotRunReason | None]
+    claim: Filter | None = None
+    record: Filter | None = None
+
+
+def build_core(parts: CoreParts) -> Core:
+    """Build the controllers, then the two chains that use them."""
+    clock = parts.clock
+    limits = Limits()
+    policies = PolicyHolder()
+    members = MemberTable()
+    admission = Admission(clock, 1 << 16, 0.02, limits.queue_wait)
+    link = TokenBucket(
+        clock, limits.region_rate, limits.region_rate * LINK_DEPTH_SECONDS
+    )
+    balancer = Balancer(
+        clock,
+        parts.place,
+        members.list_service,
+        link,
+        lambda: admission.free and parts.find_refusal() is None,
+        parts.chance,
+    )
+    learned = LearnedThresholds(clock)
+    histograms = Histograms()
+    counters = Counters()
+    inbound = compose(
+        [make_deadline(clock), make_admission(clock, admission, parts.find_refusal)],
+        parts.dispatch,
+    )
+    forward = _make_forward(parts, inbound)
+    filters: list[Filter] = [
+        make_observation(clock, histograms, counters, policies.get),
+        make_classification(policies.get),
+        make_deadline(clock),
+        make_budget(policies.get, Grants(clock)),
+        make_shedding(learned),
+    ]
+    if parts.record is not None:
+        filters.insert(0, parts.record)
+    if parts.claim is not None:
+        filters.append(parts.claim)
+    route = make_routing(clock, balancer, RetryRatio(clock), policies.get, forward)
+    policies.listen(lambda policy: _configure(policy, parts.place, admission, link))
+    return Core(
+        parts.place,
+        policies,
+        members,
+        admission,
+        balancer,
+        learned,
+        link,
+        histograms,
+        counters,
+        inbound,
+        compose(filters, route),
+    )
+
+
+def _make_forward(parts: CoreParts, inbound: Next) -> Callable[[Member, Call], Outcome]:
+    def forward(member: Member, call: Call) -> Outcome:
+        if member.node == parts.place.node:
+            return inbound(call)
+        return parts.remote(member, call)
+
+    return forward
+
+
+def _configure(
+    policy: Policy, place: Place, admission: Admission, link: TokenBucket
+) -> None:
+    service = policy.services.get(place.service)
+    if service is None:
+        return
+    admission.configure(service.slots, service.queue_target, service.limits.queue_wait)
+    link.rate = service.limits.region_rate
+    link.depth = link.rate * LINK_DEPTH_SECONDS
--- /dev/null
+++ b/src/fuchsiaspool/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Enter the programs from the command line."""
--- /dev/null
+++ b/src/fuchsiaspool/control.py
@@ -0,0 +1,115 @@
+"""Serve operators: status, histograms, settings, drain."""
+
+from base64 import b64encode
+from collections.abc import Callable
+from typing import Any
+
+import bottle
+import msgspec
+from gevent.pywsgi import WSGIServer
+
+from .addresses import Address
+from .controllers.members import Member
+from .http.listeners import listen
+from .ids import Revision, SubtreePath
+
+
+class ClassStatus(msgspec.Struct):
+    """Count the calls of one class by how they ended."""
+
+    answered: int
+    failed: int
+    not_run: dict[str, int]
+    unknown: dict[str, int]
+    retries: int
+
+
+class NodeStatus(msgspec.Struct):
+    """Describe a node; ages in seconds."""
+
+    node: str
+    service: str
+    data_centre: str
+    region: str
+    state: str
+    revision: Revision
+    settings_age: float
+    settings_fault: str
+    platform_reachable: bool
+    in_flight: int
+    queued: int
+    limit: float
+    threshold: float
+    unsettled_operations: int
+    members: dict[str, int]
+    classes: dict[str, ClassStatus]
+    peer_bytes_sent: int
+    peer_bytes_received: int
+
+
+class HistogramExport(msgspec.Struct):
+    """Hold one histogram in the library's own mergeable encoding."""
+
+    measure: str
+    kind: str
+    name: str
+    encoded: str
+
+
+class SettingsExport(msgspec.Struct):
+    """Hold the settings in force."""
+
+    revision: Revision
+    texts: dict[SubtreePath, str]
+
+
+class ControlSource(msgspec.Struct, frozen=True):
+    """Offer what the control pages show and order."""
+
+    get_status: Callable[[], NodeStatus]
+    get_histograms: Callable[[], list[HistogramExport]]
+    get_settings: Callable[[], SettingsExport]
+    get_members: Callable[[], list[Member]]
+    drain: Callable[[], None]
+
+
+class ControlServer:
+    """Serve the control pages on their own address."""
+
+    def __init__(self, address: Address, source: ControlSource) -> None:
+        self._source = source
+        socket = listen(address)
+        self.address = Address(*socket.getsockname()[:2])
+        self._server = WSGIServer(socket, self._make_app(), log=None, error_log=None)
+
+    def start(self) -> None:
+        """Accept requests."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop after short grace."""
+        self._server.stop(timeout=0.5)
+
+    def _make_app(self) -> bottle.Bottle:
+        app = bottle.Bottle()
+        source = self._source
+        app.get("/status", callback=lambda: _encode(source.get_status()))
+        app.get("/histograms", callback=lambda: _encode(source.get_histograms()))
+        app.get("/settings", callback=lambda: _encode(source.get_settings()))
+        app.get("/members", callback=lambda: _encode(list(source.get_members())))
+        app.post("/drain", callback=self._drain)
+        return app
+
+    def _drain(self) -> bytes:
+        self._source.drain()
+        return _encode(self._source.get_status())
+
+
+def _encode(value: Any) -> bytes:
+    bottle.response.content_type = "application/json"
+    return msgspec.json.encode(value)
+
+
+def encode_histogram(data: bytes | str) -> str:
+    """Turn the library's encoding into text."""
+    return data if isinstance(data, str) else b64encode(data).decode()
--- /dev/null
+++ b/src/fuchsiaspool/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the state that filters decide by."""
--- /dev/null
+++ b/src/fuchsiaspool/controllers/balancer.py
@@ -0,0 +1,229 @@
+"""Choose the server for each attempt from what this node sees itself."""
+
+import random
+from collections.abc import Callable, Set
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import Final
+
+from ..calls import Call
+from ..clock import Clock
+from ..ids import DataCentre, NodeId, Region, ServiceName
+from ..outcomes import (
+    NO_THRESHOLD,
+    Answered,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Unknown,
+    UnknownReason,
+)
+from .buckets import TokenBucket
+from .members import Member
+
+SUBSET_SIZE: Final = 12
+LATENCY_GAIN: Final = 0.2
+FIRST_LATENCY_SECONDS: Final = 0.01
+FAILURE_LATENCY_SECONDS: Final = 1.0
+FAILURES_TO_EJECT: Final = 5
+EJECT_SECONDS: Final = 3.0
+EJECT_LONGEST_SECONDS: Final = 30.0
+EJECT_SHARE: Final = 0.34
+RAMP_ANSWERS: Final = 50
+RAMP_LEAST: Final = 0.1
+SERVER_ERROR: Final = 500
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Say where this node stands."""
+
+    node: NodeId
+    service: ServiceName
+    data_centre: DataCentre
+    region: Region
+
+
+@dataclass(slots=True)
+class _Track:
+    in_flight: int = 0
+    latency: float = FIRST_LATENCY_SECONDS
+    failures: int = 0
+    ejections: int = 0
+    ejected_until: float = float("-inf")
+    answered: int = 0
+    threshold: float = NO_THRESHOLD
+
+    @property
+    def score(self) -> float:
+        """Return the cost of one more call; lower is better."""
+        weight = min(1.0, RAMP_LEAST + self.answered / RAMP_ANSWERS)
+        return (self.in_flight + 1) * self.latency / weight
+
+
+class Balancer:
+    """Prefer near servers, spread by own observation, set outliers aside."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        place: Place,
+        list_service: Callable[[ServiceName], tuple[Member, ...]],
+        link: TokenBucket,
+        is_free: Callable[[], bool],
+        chance: random.Random,
+    ) -> None:
+        self._clock = clock
+        self._place = place
+        self._list_service = list_service
+        self._link = link
+        self._is_free = is_free
+        self._chance = chance
+        self._tracks: dict[NodeId, _Track] = {}
+        self._subsets: dict[
+            ServiceName, tuple[tuple[Member, ...], list[list[Member]]]
+        ] = {}
+
+    def choose(self, call: Call, excluded: Set[NodeId]) -> Member | NotRunReason:
+        """Return the server for the next attempt, or why there is none."""
+        reason = NotRunReason.NO_SERVER
+        shedding: Member | None = None
+        for distance, tier in enumerate(self._find_tiers(call.service)):
+            usable = [m for m in self._drop_outliers(tier) if m.node not in excluded]
+            if not usable:
+                continue
+            if distance == 2 and not self._may_cross(call):
+                reason = NotRunReason.LINK_BUDGET
+                continue
+            chosen = self._choose_one(usable)
+            if call.critical or self._track(chosen.node).threshold >= call.rank:
+                return chosen
+            shedding = shedding or chosen
+        return shedding or reason
+
+    def begin(self, member: Member) -> None:
+        """Count an attempt as in flight."""
+        self._track(member.node).in_flight += 1
+
+    def end(self, member: Member, outcome: Outcome, seconds: float) -> None:
+        """Learn from how an attempt ended."""
+        track = self._track(member.node)
+        track.in_flight -= 1
+        track.threshold = outcome.threshold
+        if self._is_crossing(member):
+            self._link.charge(_measure(outcome))
+        if not _is_failure(outcome):
+            if isinstance(outcome, Answered):
+                track.failures = 0
+                track.ejections = 0
+                track.answered += 1
+                track.latency += (seconds - track.latency) * LATENCY_GAIN
+            return
+        # A failure must never look fast, or a broken server draws all load.
+        cost = max(seconds, FAILURE_LATENCY_SECONDS)
+        track.latency += (cost - track.latency) * LATENCY_GAIN
+        track.failures += 1
+        certain = isinstance(outcome, NotRun)
+        if track.failures >= FAILURES_TO_EJECT or certain:
+            track.ejections += 1
+            span = EJECT_SECONDS * 2 ** (track.ejections - 1)
+            now = self._clock.now()
+            track.ejected_until = now + min(span, EJECT_LONGEST_SECONDS)
+            track.failures = 0
+            track.answered = 0
+
+    def charge_link(self, member: Member, size: int) -> None:
+        """Count bytes sent to a member of another region."""
+        if self._is_crossing(member):
+            self._link.charge(size)
+
+    def forget(self, node: NodeId) -> None:
+        """Drop what was learned about a node that is gone."""
+        self._tracks.pop(node, None)
+
+    def _track(self, node: NodeId) -> _Track:
+        track = self._tracks.get(node)
+        if track is None:
+            track = self._tracks[node] = _Track()
+        return track
+
+    def _is_crossing(self, member: Member) -> bool:
+        return member.region != self._place.region
+
+    def _may_cross(self, call: Call) -> bool:
+        floor = -self._link.depth if call.critical else 0.0
+        return self._link.tokens > floor
+
+    def _find_tiers(self, service: ServiceName) -> list[list[Member]]:
+        members = self._list_service(service)
+        cached = self._subsets.get(service)
+        if cached is not None and cached[0] is members:
+            return cached[1]
+        tiers: list[list[Member]] = [[], [], []]
+        for member in members:
+            if member.data_centre == self._place.data_centre:
+                tiers[0].append(member)
+            elif member.region == self._place.region:
+                tiers[1].append(member)
+            else:
+                tiers[2].append(member)
+        subset = [choose_subset(self._place.node, t, SUBSET_SIZE) for t in tiers]
+        self._subsets[service] = (members, subset)
+        return subset
+
+    def _drop_outliers(self, tier: list[Member]) -> list[Member]:
+        now = self._clock.now()
+        ejected = [m for m in tier if self._track(m.node).ejected_until > now]
+        if not ejected:
+            return tier
+        allowed = int(len(tier) * EJECT_SHARE)
+        ejected.sort(key=lambda m: self._track(m.node).ejected_until, reverse=True)
+        dropped = {member.node for member in ejected[:allowed]}
+        return [member for member in tier if member.node not in dropped]
+
+    def _choose_one(self, usable: list[Member]) -> Member:
+        if self._is_free():
+            for member in usable:
+                if member.node == self._place.node:
+                    return member
+        if len(usable) == 1:
+            return usable[0]
+        first, second = self._chance.sample(usable, 2)
+        if self._track(second.node).score < self._track(first.node).score:
+            return second
+        return first
+
+
+def choose_subset(node: NodeId, members: list[Member], size: int) -> list[Member]:
+    """Choose a fixed few of many members by rendezvous hash."""
+    if len(members) <= size:
+        return members
+    ordered = sorted(members, key=lambda m: hash_pair(node, m.node))
+    return ordered[:size]
+
+
+def hash_pair(left: str, right: str) -> int:
+    """Weigh a pair of names for rendezvous hashing."""
+    digest = blake2b(f"{left}|{right}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def _is_failure(outcome: Outcome) -> bool:
+    match outcome:
+        case Answered():
+            # Errors under a lowered threshold are overload, not a broken server.
+            return outcome.status >= SERVER_ERROR and outcome.threshold >= NO_THRESHOLD
+        case NotRun():
+            return outcome.reason in (
+                NotRunReason.CONNECT_FAILED,
+                NotRunReason.LEAVING,
+                NotRunReason.NOT_READY,
+            )
+        case Unknown():
+            return outcome.reason is not UnknownReason.CANCELLED
+
+
+def _measure(outcome: Outcome) -> int:
+    if isinstance(outcome, Answered):
+        return outcome.body.length or len(outcome.body.head)
+    return 0
--- /dev/null
+++ b/src/fuchsiaspool/controllers/histograms.py
@@ -0,0 +1,65 @@
+"""Record latency and queue delay in histograms for each class and caller."""
+
+from enum import Enum
+from typing import Final
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_MICROSECONDS: Final = 1
+HIGHEST_MICROSECONDS: Final = 600_000_000
+SIGNIFICANT_DIGITS: Final = 2
+CALLER_LIMIT: Final = 40
+POOLED: Final = "others"
+_MICRO: Final = 1_000_000
+
+
+class Measure(Enum):
+    """Say what a histogram measures."""
+
+    LATENCY = "latency"
+    REFUSAL = "refusal"
+
+
+class Histograms:
+    """Keep a bounded set of mergeable histograms; callers beyond it are pooled."""
+
+    def __init__(self) -> None:
+        self._histograms: dict[tuple[Measure, str, str], HdrHistogram] = {}
+        self._callers: set[str] = set()
+
+    def record(
+        self, measure: Measure, class_name: str, caller: str, seconds: float
+    ) -> None:
+        """Count one duration for its class and its caller."""
+        value = max(LOWEST_MICROSECONDS, int(seconds * _MICRO))
+        self._find(measure, "class", class_name).record_value(value)
+        self._find(measure, "caller", self._pool(caller)).record_value(value)
+
+    def export(self) -> dict[tuple[Measure, str, str], bytes]:
+        """Return every histogram in the library's own mergeable encoding."""
+        return {key: found.encode() for key, found in self._histograms.items()}
+
+    def find_all(self) -> dict[tuple[Measure, str, str], HdrHistogram]:
+        """Return every histogram by measure, kind and name."""
+        return self._histograms
+
+    def _pool(self, caller: str) -> str:
+        if caller in self._callers:
+            return caller
+        if len(self._callers) >= CALLER_LIMIT:
+            return POOLED
+        self._callers.add(caller)
+        return caller
+
+    def _find(self, measure: Measure, kind: str, name: str) -> HdrHistogram:
+        key = (measure, kind, name)
+        found = self._histograms.get(key)
+        if found is None:
+            found = make_histogram()
+            self._histograms[key] = found
+        return found
+
+
+def make_histogram() -> HdrHistogram:
+    """Make a histogram of microseconds."""
+    return HdrHistogram(LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS)
--- /dev/null
+++ b/src/fuchsiaspool/controllers/membership.py
@@ -0,0 +1,272 @@
+"""Watch over the members of the own data centre by heartbeats among peers."""
+
+import math
+import random
+from collections.abc import Callable
+from typing import Final
+
+import msgspec
+
+from ..addresses import Address, parse_address
+from ..clock import Clock, Timer
+from ..ids import Incarnation, NodeId
+from ..peers.messages import Ack, Body, Envelope, Ping, PingRequest, Sync
+from .members import Member, MemberState, MemberTable
+
+PERIOD_SECONDS: Final = 1.0
+ACK_SECONDS: Final = 0.4
+SUSPECT_SECONDS: Final = 4.0
+INDIRECT_PEERS: Final = 3
+UPDATES_PER_MESSAGE: Final = 8
+SPREAD_FACTOR: Final = 3
+# A larger share of suspects tells more of the judge than of the judged.
+SUSPECT_SHARE: Final = 0.3
+SUSPECT_LEAST: Final = 3
+PUSH_PEERS: Final = 3
+# News that comes within this time goes out together.
+PUSH_SECONDS: Final = 0.05
+TOMBSTONE_SECONDS: Final = 600.0
+# A node that did not tick for this long may have been declared dead meanwhile.
+PAUSE_SECONDS: Final = 5.0
+
+
+class Membership:
+    """Ping one peer a period, spread news, suspect the silent, refute rumours."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        own: Member,
+        table: MemberTable,
+        chance: random.Random,
+        send: Callable[[Address, Body], None],
+    ) -> None:
+        self.own = own
+        self.paused = False
+        self._clock = clock
+        self._table = table
+        self._chance = chance
+        self._send = send
+        self._sequence = 0
+        self._waiting: dict[int, Timer] = {}
+        self._relayed: dict[int, tuple[int, Address]] = {}
+        self._news: dict[NodeId, int] = {}
+        self._round: list[NodeId] = []
+        self._suspected: dict[NodeId, float] = {}
+        self._died: dict[NodeId, float] = {}
+        self._last_tick = clock.now()
+        self._push_due = False
+        table.listen(self._note_change)
+        table.merge(own)
+
+    def tick(self) -> None:
+        """Run one period."""
+        now = self._clock.now()
+        if now - self._last_tick > PAUSE_SECONDS:
+            self._wake_from_pause()
+        self._last_tick = now
+        self._judge_suspects()
+        self._drop_tombstones()
+        target = self._next_target()
+        if target is not None:
+            self._ping(target)
+
+    def join(self, contacts: tuple[Address, ...]) -> None:
+        """Ask contacts for all members they know."""
+        for address in contacts:
+            self._send(address, Sync([self.own], wants_reply=True))
+
+    def leave(self) -> None:
+        """Tell peers at once that this node takes no new work."""
+        self._set_own(MemberState.LEAVING, self.own.incarnation)
+        self.push_news()
+        for member in self._choose_abroad():
+            self._send(parse_address(member.peers), Sync([self.own]))
+
+    def push_news(self) -> None:
+        """Tell a few peers at once what is new, without waiting for a period."""
+        self._push_due = False
+        peers = self._list_peers()
+        count = min(PUSH_PEERS, len(peers))
+        for member in self._chance.sample(peers, count):
+            self._send(parse_address(member.peers), Ack(0))
+
+    def collect_updates(self) -> list[Member]:
+        """Return news that was told least often, and count it as told."""
+        if not self._news:
+            return []
+        ordered = sorted(self._news, key=self._news.__getitem__)
+        limit = SPREAD_FACTOR * (1 + int(math.log2(len(self._round) + 2)))
+        updates = []
+        for node in ordered[:UPDATES_PER_MESSAGE]:
+            self._news[node] += 1
+            if self._news[node] >= limit:
+                del self._news[node]
+            member = self._table.find(node)
+            if member is not None:
+                updates.append(member)
+        return updates
+
+    def receive_updates(self, updates: list[Member]) -> None:
+        """Merge records, and refute those that bury this node alive."""
+        for member in updates:
+            if member.node == self.own.node:
+                self._refute(member)
+                continue
+            self._table.merge(member)
+
+    def receive_ping(self, body: Ping, envelope: Envelope) -> None:
+        """Answer a ping."""
+        if self._table.find(envelope.sender) is None:
+            # The sender is unknown here: ask it who it is.
+            self._send(parse_address(envelope.address), Sync([self.own], True))
+        self._send(parse_address(envelope.address), Ack(body.sequence))
+
+    def receive_ack(self, body: Ack, envelope: Envelope) -> None:
+        """Take a sign of life."""
+        self.paused = False
+        timer = self._waiting.pop(body.sequence, None)
+        if timer is not None:
+            timer.stop()
+        relay = self._relayed.pop(body.sequence, None)
+        if relay is not None:
+            sequence, address = relay
+            self._send(address, Ack(sequence))
+
+    def receive_ping_request(self, body: PingRequest, envelope: Envelope) -> None:
+        """Ping a third node on behalf of the sender."""
+        target = self._table.find(body.target)
+        if target is None:
+            return
+        sequence = self._make_sequence()
+        origin = (body.sequence, parse_address(envelope.address))
+        self._relayed[sequence] = origin
+        self._clock.call_later(PERIOD_SECONDS, lambda: self._end_relay(sequence))
+        self._send(parse_address(target.peers), Ping(sequence))
+
+    def receive_sync(self, body: Sync, envelope: Envelope) -> None:
+        """Merge a list of records and reply with all, if asked."""
+        self.paused = False
+        self.receive_updates(body.members)
+        if body.wants_reply:
+            members = list(self._table.list_all())
+            self._send(parse_address(envelope.address), Sync(members))
+
+    def _ping(self, target: Member) -> None:
+        sequence = self._make_sequence()
+        timer = self._clock.call_later(
+            ACK_SECONDS, lambda: self._ask_others(sequence, target)
+        )
+        self._waiting[sequence] = timer
+        self._send(parse_address(target.peers), Ping(sequence))
+
+    def _ask_others(self, sequence: int, target: Member) -> None:
+        others = [m for m in self._list_peers() if m.node != target.node]
+        count = min(INDIRECT_PEERS, len(others))
+        for member in self._chance.sample(others, count):
+            ask = PingRequest(sequence, target.node)
+            self._send(parse_address(member.peers), ask)
+        rest = PERIOD_SECONDS - ACK_SECONDS
+        self._waiting[sequence] = self._clock.call_later(
+            rest, lambda: self._suspect(sequence, target)
+        )
+
+    def _end_relay(self, sequence: int) -> None:
+        self._relayed.pop(sequence, None)
+
+    def _suspect(self, sequence: int, target: Member) -> None:
+        self._waiting.pop(sequence, None)
+        known = self._table.find(target.node)
+        if known is None or known.state is not MemberState.ALIVE:
+            return
+        suspect = msgspec.structs.replace(known, state=MemberState.SUSPECT)
+        self._table.merge(suspect)
+
+    def _judge_suspects(self) -> None:
+        peers = self._list_peers()
+        bound = max(SUSPECT_LEAST, SUSPECT_SHARE * len(peers))
+        if len(self._suspected) > bound:
+            # So many at once: this node is cut off, and condemns nobody.
+            return
+        now = self._clock.now()
+        for node, since in list(self._suspected.items()):
+            if now - since < SUSPECT_SECONDS:
+                continue
+            member = self._table.find(node)
+            if member is not None and member.state is MemberState.SUSPECT:
+                dead = msgspec.structs.replace(member, state=MemberState.DEAD)
+                self._table.merge(dead)
+
+    def _drop_tombstones(self) -> None:
+        now = self._clock.now()
+        for node, since in list(self._died.items()):
+            if now - since >= TOMBSTONE_SECONDS:
+                del self._died[node]
+                self._table.drop(node)
+
+    def _choose_abroad(self) -> list[Member]:
+        centres: dict[str, list[Member]] = {}
+        for member in self._table.list_all():
+            if member.state is MemberState.ALIVE:
+                centres.setdefault(member.data_centre, []).append(member)
+        centres.pop(self.own.data_centre, None)
+        return [self._chance.choice(found) for _, found in sorted(centres.items())]
+
+    def _plan_push(self) -> None:
+        if not self._push_due:
+            self._push_due = True
+            self._clock.call_later(PUSH_SECONDS, self.push_news)
+
+    def _note_change(self, member: Member) -> None:
+        self._news[member.node] = 0
+        if member.state is not MemberState.SUSPECT:
+            self._plan_push()
+        self._suspected.pop(member.node, None)
+        self._died.pop(member.node, None)
+        if member.state is MemberState.SUSPECT:
+            if member.data_centre == self.own.data_centre:
+                self._suspected[member.node] = self._clock.now()
+        elif member.state is not MemberState.ALIVE:
+            self._died[member.node] = self._clock.now()
+
+    def _refute(self, rumour: Member) -> None:
+        if rumour.incarnation < self.own.incarnation:
+            return
+        if rumour.incarnation > self.own.incarnation or rumour.replaces(self.own):
+            higher = Incarnation(rumour.incarnation + 1)
+            self._set_own(self.own.state, higher)
+
+    def _wake_from_pause(self) -> None:
+        # Others may have buried this node: it takes no work until a peer answers.
+        self.paused = any(True for _ in self._list_peers())
+        self._set_own(self.own.state, Incarnation(self.own.incarnation + 1))
+
+    def _set_own(self, state: MemberState, incarnation: Incarnation) -> None:
+        self.own = msgspec.structs.replace(
+            self.own, state=state, incarnation=incarnation
+        )
+        self._table.merge(self.own)
+
+    def _list_peers(self) -> list[Member]:
+        return [
+            member
+            for member in self._table.list_all()
+            if member.data_centre == self.own.data_centre
+            and member.node != self.own.node
+            and member.state is not MemberState.DEAD
+        ]
+
+    def _next_target(self) -> Member | None:
+        while True:
+            if not self._round:
+                self._round = [member.node for member in self._list_peers()]
+                self._chance.shuffle(self._round)
+            if not self._round:
+                return None
+            member = self._table.find(self._round.pop())
+            if member is not None and member.state is not MemberState.DEAD:
+                return member
+
+    def _make_sequence(self) -> int:
+        self._sequence += 1
+        return self._sequence
--- /dev/null
+++ b/src/fuchsiaspool/controllers/registry.py
@@ -0,0 +1,117 @@
+"""Announce this node in the platform and read who else did."""
+
+from collections.abc import Callable
+from typing import Final
+
+import msgspec
+
+from ..clock import Clock
+from ..ids import NodeId, Version
+from ..platform.objects import Applied, Conflict, Listing, ObjectKey, Platform
+from ..results import Err, Ok
+from .members import Member, MemberState, MemberTable
+
+PREFIX: Final = "members/"
+RENEW_SECONDS: Final = 60.0
+LEASE_SECONDS: Final = 180.0
+# The platform must have answered for this long before its silence on a member
+# counts: after an outage every lease has lapsed.
+TRUST_SECONDS: Final = 2 * LEASE_SECONDS
+
+
+class Announcement(msgspec.Struct, frozen=True):
+    """Hold a member's record; its lease ends at `lease`, seconds since the epoch."""
+
+    member: Member
+    lease: float
+
+
+class Registry:
+    """Keep this node's announcement alive under conditional updates."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        platform: Platform,
+        table: MemberTable,
+        get_own: Callable[[], Member],
+    ) -> None:
+        self.reachable = False
+        self._clock = clock
+        self._platform = platform
+        self._table = table
+        self._get_own = get_own
+        self._version: Version | None = None
+        self._trusted_since: float | None = None
+
+    def announce(self) -> bool:
+        """Create or renew the announcement; tell if it holds."""
+        own = self._get_own()
+        lease = self._clock.wall() + LEASE_SECONDS
+        value = msgspec.json.encode(Announcement(own, lease))
+        key = make_key(own)
+        outcome = self._platform.put(key, value, self._version)
+        if isinstance(outcome, Conflict):
+            # An earlier life of this node, or a write whose answer was lost.
+            self._version = self._read_version(key)
+            outcome = self._platform.put(key, value, self._version)
+        self.reachable = isinstance(outcome, Applied | Conflict)
+        if isinstance(outcome, Applied):
+            self._version = outcome.version
+            return True
+        self._trusted_since = None if not self.reachable else self._trusted_since
+        return False
+
+    def withdraw(self) -> None:
+        """Delete the announcement."""
+        if self._version is not None:
+            self._platform.delete(make_key(self._get_own()), self._version)
+
+    def read_members(self) -> bool:
+        """Merge what others announced, and bury the long gone; tell if it could."""
+        listed = self._platform.list_prefix(PREFIX)
+        if isinstance(listed, Err):
+            self._trusted_since = None
+            return False
+        now = self._clock.now()
+        if self._trusted_since is None:
+            self._trusted_since = now
+        alive = self._merge(listed.value)
+        if now - self._trusted_since >= TRUST_SECONDS:
+            self._bury_lapsed(alive)
+        return True
+
+    def _merge(self, listing: Listing) -> set[NodeId]:
+        alive: set[NodeId] = set()
+        for stored in listing.items:
+            try:
+                found = msgspec.json.decode(stored.value, type=Announcement)
+            except msgspec.DecodeError:
+                continue
+            if found.lease < self._clock.wall():
+                continue
+            alive.add(found.member.node)
+            if found.member.node != self._get_own().node:
+                self._table.merge(found.member)
+        return alive
+
+    def _bury_lapsed(self, alive: set[NodeId]) -> None:
+        # Peers judge the own data centre; elsewhere a lapsed lease has to do.
+        own = self._get_own()
+        for member in list(self._table.list_all()):
+            if member.data_centre == own.data_centre or member.node in alive:
+                continue
+            if member.state is MemberState.ALIVE:
+                dead = msgspec.structs.replace(member, state=MemberState.DEAD)
+                self._table.merge(dead)
+
+    def _read_version(self, key: ObjectKey) -> Version | None:
+        match self._platform.get(key):
+            case Ok(stored):
+                return stored.version
+        return None
+
+
+def make_key(member: Member) -> ObjectKey:
+    """Return where a member's announcement is kept."""
+    return ObjectKey(f"{PREFIX}{member.data_centre}/{member.node}")
--- /dev/null
+++ b/src/fuchsiaspool/controllers/settings.py
@@ -0,0 +1,97 @@
+"""Keep the newest accepted settings in force on this node."""
+
+import logging
+from collections.abc import Callable
+from typing import Final
+
+from ..addresses import Address, parse_address
+from ..clock import Clock
+from ..ids import Revision, SubtreePath
+from ..peers.messages import Envelope, SettingsAsk, SettingsTell
+from ..results import Err
+from ..settings.objects import Bundle, hash_tree
+from ..settings.policy import Policy
+from ..settings.tree import build_policy
+
+_LOG = logging.getLogger(__name__)
+ASK_AGAIN_SECONDS: Final = 0.5
+
+Send = Callable[[Address, SettingsAsk | SettingsTell], None]
+
+
+class SettingsKeeper:
+    """Adopt only higher revisions, whole and valid, and pass them on to peers."""
+
+    def __init__(
+        self, clock: Clock, put_policy: Callable[[Policy], bool], send: Send
+    ) -> None:
+        self.bundle = Bundle(Revision(0), {}, {})
+        self.fault = ""
+        self.adopted_at = clock.now()
+        self._clock = clock
+        self._put_policy = put_policy
+        self._send = send
+        self._asked: dict[Address, float] = {}
+
+    @property
+    def revision(self) -> Revision:
+        """Return the revision in force."""
+        return self.bundle.revision
+
+    def adopt(self, bundle: Bundle) -> bool:
+        """Put a bundle in force if it is newer and valid; tell if it was."""
+        if bundle.revision <= self.bundle.revision:
+            return False
+        built = build_policy(bundle.revision, bundle.texts)
+        if isinstance(built, Err):
+            self.fault = f"revision {bundle.revision}: {built.error}"
+            _LOG.error("settings not adopted", extra={"detail": self.fault})
+            return False
+        self.bundle = bundle
+        self.fault = ""
+        self.adopted_at = self._clock.now()
+        self._put_policy(built.value)
+        _LOG.info("settings adopted", extra={"revision": bundle.revision})
+        return True
+
+    def receive_revision(self, revision: Revision, sender: Address) -> None:
+        """Ask a peer for its settings if they are newer."""
+        if revision <= self.bundle.revision:
+            return
+        now = self._clock.now()
+        if now - self._asked.get(sender, float("-inf")) < ASK_AGAIN_SECONDS:
+            return
+        if len(self._asked) > 1000:
+            self._asked.clear()
+        self._asked[sender] = now
+        self._send(sender, SettingsAsk(self.bundle.revision))
+
+    def receive_ask(self, body: SettingsAsk, envelope: Envelope) -> None:
+        """Hand over the texts that changed since the peer's revision."""
+        own = self.bundle
+        if own.revision <= body.have:
+            return
+        texts: dict[SubtreePath, str] = {
+            path: text
+            for path, text in own.texts.items()
+            if own.changed[path] > body.have
+        }
+        tell = SettingsTell(
+            own.revision, body.have, hash_tree(own.texts), own.changed, texts
+        )
+        self._send(parse_address(envelope.address), tell)
+
+    def receive_tell(self, body: SettingsTell, envelope: Envelope) -> None:
+        """Complete the peer's texts with those held, and adopt the whole."""
+        if body.revision <= self.bundle.revision or body.base > self.bundle.revision:
+            return
+        texts: dict[SubtreePath, str] = {}
+        for path in body.changed:
+            text = body.texts.get(path, self.bundle.texts.get(path))
+            if text is None:
+                break
+            texts[path] = text
+        if hash_tree(texts) != body.digest:
+            _LOG.warning("settings from a peer are not whole")
+            return
+        self.adopt(Bundle(body.revision, texts, body.changed))
--- /dev/null
+++ b/src/fuchsiaspool/dispatch.py
@@ -0,0 +1,42 @@
+"""Hand a call to the node's own backend server."""
+
+from typing import Final
+
+from .addresses import Address
+from .calls import Call, Next
+from .clock import Clock
+from .controllers.contexts import Contexts
+from .http.client import Send
+from .http.messages import find_header, keep_end_to_end
+from .outcomes import Answered, NotRun, NotRunReason, Outcome
+
+TOKEN_HEADER: Final = b"fuchsiaspool-context"
+DEADLINE_HEADER: Final = b"fuchsiaspool-deadline-ms"
+REFUSAL_HEADER: Final = b"fuchsiaspool-not-run"
+_MILLI: Final = 1000.0
+
+
+def make_dispatch(
+    clock: Clock, server: Address, send: Send, contexts: Contexts
+) -> Next:
+    """Return the last step of the inbound chain."""
+
+    def dispatch(call: Call) -> Outcome:
+        token, context = contexts.open(call)
+        headers = keep_end_to_end(call.headers)
+        remaining = (call.deadline - clock.now()) * _MILLI
+        headers.append((TOKEN_HEADER, token.encode()))
+        headers.append((DEADLINE_HEADER, b"%d" % max(0, int(remaining))))
+        try:
+            outcome = send(server, call, headers)
+        finally:
+            contexts.close(token)
+        if isinstance(outcome, Answered):
+            refusal = find_header(outcome.headers, REFUSAL_HEADER)
+            if refusal is not None:
+                refused = NotRunReason.SERVER_REFUSED
+                return NotRun(refused, refusal, threshold=context.threshold)
+        outcome.threshold = min(outcome.threshold, context.threshold)
+        return outcome
+
+    return dispatch
--- /dev/null
+++ b/src/fuchsiaspool/filters/__init__.py
@@ -0,0 +1,1 @@
+"""Decide about one call each, in chain order."""
--- /dev/null
+++ b/src/fuchsiaspool/filters/admission.py
@@ -0,0 +1,64 @@
+"""Hold a call until the node's own backend server has a slot for it."""
+
+from collections.abc import Callable
+from typing import Final
+
+from ..calls import Call, Filter, Next
+from ..clock import Clock
+from ..controllers.admission import Admission
+from ..outcomes import NO_THRESHOLD, Answered, NotRun, NotRunReason, Outcome
+
+SERVER_BUSY: Final = (429, 503)
+
+
+def make_admission(
+    clock: Clock, admission: Admission, find_refusal: Callable[[], NotRunReason | None]
+) -> Filter:
+    """Return a filter that admits calls in the order of their importance."""
+
+    def admit(call: Call, following: Next) -> Outcome:
+        reason = find_refusal()
+        if reason is not None:
+            return NotRun(reason)
+        refusal = admission.enter(call)
+        if refusal is not None:
+            return refusal
+        started = clock.now()
+        outcome: Outcome | None = None
+        try:
+            outcome = following(call)
+        finally:
+            leave = _make_leave(clock, admission, call, outcome, started)
+            if isinstance(outcome, Answered) and not outcome.body.whole:
+                # The server holds its slot until the stream has ended.
+                call.finishers.append(leave)
+            else:
+                leave(True)
+        outcome.threshold = min(outcome.threshold, admission.threshold)
+        return outcome
+
+    return admit
+
+
+def _make_leave(
+    clock: Clock,
+    admission: Admission,
+    call: Call,
+    outcome: Outcome | None,
+    started: float,
+) -> Callable[[bool], None]:
+    def leave(whole: bool) -> None:
+        ran = not isinstance(outcome, NotRun)
+        admission.leave(call, clock.now() - started, _is_busy(outcome), ran)
+
+    return leave
+
+
+def _is_busy(outcome: Outcome | None) -> bool:
+    match outcome:
+        case NotRun():
+            return outcome.reason is NotRunReason.SERVER_REFUSED
+        case Answered():
+            return outcome.status in SERVER_BUSY and outcome.threshold >= NO_THRESHOLD
+        case _:
+            return False
--- /dev/null
+++ b/src/fuchsiaspool/filters/budget.py
@@ -0,0 +1,25 @@
+"""Grant a caller's request its retry allowance at the entrance."""
+
+from collections.abc import Callable
+
+from ..allowance import Allowance
+from ..calls import Call, Filter, Next
+from ..controllers.retries import Grants
+from ..outcomes import Outcome
+from ..settings.policy import Policy
+
+
+def make_budget(get_policy: Callable[[], Policy], grants: Grants) -> Filter:
+    """Return a filter that grants R retries once to each request from outside."""
+
+    def grant_budget(call: Call, following: Next) -> Outcome:
+        if call.from_outside:
+            limits = get_policy().services[call.service].limits
+            granted = limits.retry_allowance
+            if call.resend:
+                granted = 0
+            granted = grants.grant(call.caller, call.request, granted)
+            call.allowance = Allowance(granted)
+        return following(call)
+
+    return grant_budget
--- /dev/null
+++ b/src/fuchsiaspool/filters/claim.py
@@ -0,0 +1,91 @@
+"""Let a protected operation through only with a durable claim to its key."""
+
+from hashlib import blake2b
+from typing import Final
+
+from ..bodies import Body, BodyError
+from ..calls import Call, Filter, Next
+from ..clock import Clock
+from ..operations.changes import RememberedAnswer
+from ..operations.claims import Claimed, Claims, Duplicate, InDoubt, Refused
+from ..outcomes import (
+    Answered,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Unknown,
+    UnknownReason,
+)
+
+# Answers up to this size, in bytes, are kept for duplicates.
+ANSWER_BYTES: Final = 65_536
+
+
+def make_claim(clock: Clock, claims: Claims) -> Filter:
+    """Return a filter that claims, settles, and answers duplicates."""
+
+    def claim(call: Call, following: Next) -> Outcome:
+        if not call.protected:
+            return following(call)
+        if call.key is None:
+            detail = "this operation needs an idempotency key"
+            return NotRun(NotRunReason.KEY_REQUIRED, detail)
+        expires = clock.wall() + call.deadline - clock.now()
+        claimed = claims.claim(call.key, _take_fingerprint(call), expires)
+        match claimed:
+            case Duplicate():
+                return _repeat(claimed.answer)
+            case Refused():
+                return NotRun(claimed.reason, claimed.detail)
+            case InDoubt():
+                return Unknown(claimed.reason)
+            case Claimed():
+                call.expires_wall = expires
+                return _run(claims, claimed, call, following)
+
+    return claim
+
+
+def _run(claims: Claims, claimed: Claimed, call: Call, following: Next) -> Outcome:
+    try:
+        outcome = following(call)
+    except BaseException:
+        claims.doubt(claimed)
+        raise
+    if isinstance(outcome, Answered):
+        outcome = _collect(outcome)
+    match outcome:
+        case NotRun():
+            claims.release(claimed)
+        case Unknown():
+            claims.doubt(claimed)
+        case Answered():
+            claims.remember(claimed, _remember(outcome))
+    return outcome
+
+
+def _collect(answer: Answered) -> Outcome:
+    # The whole answer is read first: only a whole one may be remembered.
+    try:
+        body = b"".join(answer.body)
+    except BodyError as error:
+        return Unknown(UnknownReason.TRUNCATED, str(error))
+    answer.body = Body(body)
+    return answer
+
+
+def _remember(answer: Answered) -> RememberedAnswer | None:
+    if len(answer.body.head) > ANSWER_BYTES:
+        return None
+    return RememberedAnswer(answer.status, answer.headers, answer.body.head)
+
+
+def _repeat(answer: RememberedAnswer) -> Outcome:
+    return Answered(answer.status, list(answer.headers), Body(answer.body))
+
+
+def _take_fingerprint(call: Call) -> str:
+    digest = blake2b(f"{call.caller} {call.method} {call.target}".encode())
+    if call.body.whole:
+        digest.update(call.body.head)
+    return digest.hexdigest()[:32]
--- /dev/null
+++ b/src/fuchsiaspool/filters/routing.py
@@ -0,0 +1,90 @@
+"""Send a call to a server, and to another one where that is safe."""
+
+from collections.abc import Callable
+from typing import Final
+
+from ..calls import Call, Next
+from ..clock import Clock
+from ..controllers.balancer import Balancer
+from ..controllers.members import Member
+from ..controllers.retries import RetryRatio
+from ..ids import NodeId
+from ..outcomes import Answered, NotRun, NotRunReason, Outcome, Unknown, UnknownReason
+from ..settings.policy import Policy
+
+Forward = Callable[[Member, Call], Outcome]
+
+_RETRY_ELSEWHERE: Final = frozenset(
+    (
+        NotRunReason.CONNECT_FAILED,
+        NotRunReason.LEAVING,
+        NotRunReason.NOT_READY,
+        NotRunReason.SERVER_REFUSED,
+        NotRunReason.QUEUE_FULL,
+    )
+)
+
+
+def make_routing(
+    clock: Clock,
+    balancer: Balancer,
+    ratio: RetryRatio,
+    get_policy: Callable[[], Policy],
+    forward: Forward,
+) -> Next:
+    """Return the last step of the outbound chain."""
+
+    def route(call: Call) -> Outcome:
+        limits = get_policy().services[call.service].limits
+        ratio.count_first(call.service, limits.retry_ratio)
+        tried: set[NodeId] = set()
+        outcome: Outcome | None = None
+        while True:
+            chosen = balancer.choose(call, tried)
+            if isinstance(chosen, NotRunReason):
+                return outcome or NotRun(chosen)
+            # A retry is paid for only once there is a server to send it to.
+            if outcome is not None and not _pay(call, ratio):
+                return outcome
+            outcome = _attempt(clock, balancer, forward, chosen, call)
+            if not may_retry(call, outcome, clock.now()):
+                return outcome
+            call.finish(False)
+            tried.add(chosen.node)
+
+    return route
+
+
+def may_retry(call: Call, outcome: Outcome, now: float) -> bool:
+    """Tell if running the call again is safe and of use."""
+    if call.deadline <= now or call.cancellation.cancelled:
+        return False
+    if not call.body.resendable:
+        return False
+    match outcome:
+        case Answered():
+            return False
+        case NotRun():
+            return outcome.reason in _RETRY_ELSEWHERE
+        case Unknown():
+            return call.idempotent and outcome.reason is not UnknownReason.CANCELLED
+
+
+def _pay(call: Call, ratio: RetryRatio) -> bool:
+    return (
+        call.allowance.left > 0 and ratio.take(call.service) and call.allowance.take()
+    )
+
+
+def _attempt(
+    clock: Clock, balancer: Balancer, forward: Forward, member: Member, call: Call
+) -> Outcome:
+    started = clock.now()
+    balancer.begin(member)
+    balancer.charge_link(member, call.body.length or 0)
+    outcome: Outcome = Unknown(UnknownReason.RESET)
+    try:
+        outcome = forward(member, call)
+    finally:
+        balancer.end(member, outcome, clock.now() - started)
+    return outcome
--- /dev/null
+++ b/src/fuchsiaspool/filters/shedding.py
@@ -0,0 +1,20 @@
+"""Shed upstream what servers downstream would shed."""
+
+from ..calls import Call, Filter, Next
+from ..controllers.threshold import LearnedThresholds
+from ..outcomes import NotRun, NotRunReason, Outcome
+
+
+def make_shedding(learned: LearnedThresholds) -> Filter:
+    """Return a filter that refuses calls above the learned threshold."""
+
+    def shed(call: Call, following: Next) -> Outcome:
+        threshold = learned.find(call.service, call.operation)
+        if not call.critical and call.rank > threshold:
+            detail = "shed before sending"
+            return NotRun(NotRunReason.SHED, detail, threshold=threshold)
+        outcome = following(call)
+        learned.learn(call.service, call.operation, outcome.threshold)
+        return outcome
+
+    return shed
--- /dev/null
+++ b/src/fuchsiaspool/http/__init__.py
@@ -0,0 +1,1 @@
+"""Carry calls over HTTP."""
--- /dev/null
+++ b/src/fuchsiaspool/http/client.py
@@ -0,0 +1,247 @@
+"""Send calls over kept-alive connections and tag how each ended."""
+
+from collections.abc import Callable, Iterator
+from typing import Any, Final
+
+import gevent.socket
+from gevent.socket import IPPROTO_TCP, TCP_NODELAY
+
+from ..addresses import Address
+from ..bodies import BUFFER_BYTES, Body, BodyError, Headers
+from ..calls import Call
+from ..clock import Clock
+from ..outcomes import Answered, NotRun, NotRunReason, Outcome, Unknown, UnknownReason
+from .messages import (
+    LAST_CHUNK,
+    ClosedError,
+    Head,
+    MessageError,
+    MessageReader,
+    frame_chunk,
+    join_bare_head,
+    join_head,
+)
+from .sockets import Peek, peek
+
+CONNECT_SECONDS: Final = 1.0
+STALL_SECONDS: Final = 15.0
+IDLE_CONNECTIONS: Final = 32
+_BODILESS_METHODS: Final = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
+
+
+class Connection:
+    """Hold one socket to a server and its reader."""
+
+    __slots__ = ("socket", "reader")
+
+    def __init__(self, socket: Any) -> None:
+        self.socket = socket
+        self.reader = MessageReader(socket, for_requests=False)
+
+    def is_stale(self) -> bool:
+        """Tell if the server closed the connection or sent bytes unasked."""
+        return peek(self.socket) is not Peek.QUIET
+
+    def abort(self) -> None:
+        """Cut the connection, so that whoever waits on it wakes."""
+        try:
+            self.socket.shutdown(gevent.socket.SHUT_RDWR)
+        except OSError:
+            return
+
+    def close(self) -> None:
+        """Close the socket."""
+        self.socket.close()
+
+
+class Pool:
+    """Keep idle connections to each address, newest first."""
+
+    def __init__(self, idle_limit: int = IDLE_CONNECTIONS) -> None:
+        self._idle: dict[Address, list[Connection]] = {}
+        self._idle_limit = idle_limit
+
+    def take(self, address: Address) -> Connection | None:
+        """Return a fresh idle connection, if there is one."""
+        idle = self._idle.get(address)
+        while idle:
+            connection = idle.pop()
+            if not connection.is_stale():
+                return connection
+            connection.close()
+        return None
+
+    def connect(self, address: Address, timeout: float) -> Connection:
+        """Open a connection; raise `OSError`."""
+        socket = gevent.socket.create_connection(
+            (address.host, address.port), min(CONNECT_SECONDS, timeout)
+        )
+        socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        return Connection(socket)
+
+    def give(self, address: Address, connection: Connection) -> None:
+        """Keep a connection for the next call."""
+        idle = self._idle.setdefault(address, [])
+        if len(idle) >= self._idle_limit:
+            connection.close()
+            return
+        connection.reader.reset()
+        idle.append(connection)
+
+    def forget(self, address: Address) -> None:
+        """Close the idle connections to an address."""
+        for connection in self._idle.pop(address, []):
+            connection.close()
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for address in list(self._idle):
+            self.forget(address)
+
+
+class _Exchange:
+    """Run one call over one connection."""
+
+    def __init__(
+        self, pool: Pool, clock: Clock, address: Address, call: Call, headers: Headers
+    ) -> None:
+        self._pool = pool
+        self._clock = clock
+        self._address = address
+        self._call = call
+        self._headers = headers
+        self._handed_over = False
+        self._connection: Connection | None = None
+
+    def run(self) -> Outcome:
+        call = self._call
+        remaining = call.deadline - self._clock.now()
+        if remaining <= 0:
+            return NotRun(NotRunReason.DEADLINE)
+        connection = self._pool.take(self._address)
+        if connection is None:
+            try:
+                connection = self._pool.connect(self._address, remaining)
+            except OSError as error:
+                return NotRun(NotRunReason.CONNECT_FAILED, str(error))
+        self._connection = connection
+        forget = call.cancellation.add(connection.abort)
+        try:
+            outcome = self._exchange(connection)
+        except TimeoutError:
+            outcome = self._fail(UnknownReason.TIMEOUT, "no answer in time")
+        except ClosedError as error:
+            reason = UnknownReason.TRUNCATED if error.began else UnknownReason.RESET
+            outcome = self._fail(reason, str(error))
+        except MessageError as error:
+            outcome = self._fail(UnknownReason.BAD_ANSWER, str(error))
+        except BodyError as error:
+            outcome = self._fail(UnknownReason.CANCELLED, str(error))
+        except OSError as error:
+            outcome = self._fail(UnknownReason.RESET, str(error))
+        if not isinstance(outcome, Answered) or outcome.body.whole:
+            forget()
+        else:
+            call.finishers.append(lambda whole: forget())
+        return outcome
+
+    def _exchange(self, connection: Connection) -> Outcome:
+        if self._call.cancellation.cancelled:
+            connection.close()
+            return NotRun(NotRunReason.CANCELLED)
+        self._send(connection)
+        connection.socket.settimeout(self._remaining())
+        head = connection.reader.read_head()
+        return self._receive(connection, head)
+
+    def _remaining(self) -> float:
+        return max(self._call.deadline - self._clock.now(), 0.001)
+
+    def _send(self, connection: Connection) -> None:
+        call = self._call
+        body = call.body
+        socket = connection.socket
+        socket.settimeout(self._remaining())
+        start = f"{call.method} {call.target} HTTP/1.1".encode("latin-1")
+        headers = self._headers
+        if body.whole and not body.head and call.method in _BODILESS_METHODS:
+            self._handed_over = True
+            socket.sendall(join_bare_head(start, headers))
+            return
+        data = join_head(start, headers, body.length)
+        self._handed_over = True
+        if body.whole:
+            body.started = True
+            socket.sendall(data + body.head)
+            return
+        try:
+            self._stream(socket, data, body)
+        except (BrokenPipeError, ConnectionResetError):
+            # The server may have answered early; its answer is read next.
+            return
+
+    def _stream(self, socket: Any, data: bytes, body: Body) -> None:
+        # The deadline bounds the wait for an answer; a long upload is bounded
+        # by its progress instead.
+        span = self._remaining()
+        socket.settimeout(STALL_SECONDS)
+        socket.sendall(data)
+        for piece in body:
+            socket.sendall(frame_chunk(piece) if body.length is None else piece)
+        if body.length is None:
+            socket.sendall(LAST_CHUNK)
+        self._call.deadline = max(self._call.deadline, self._clock.now() + span)
+
+    def _receive(self, connection: Connection, head: Head) -> Outcome:
+        reader = connection.reader
+        if self._call.method == "HEAD":
+            # The parser would wait for a body that a HEAD answer only announces.
+            connection.close()
+            return Answered(head.status, head.headers, Body(b""))
+        if head.length is None and not head.chunked and not reader.complete:
+            return self._fail(UnknownReason.UNFRAMED, "answer has no length")
+        first = reader.read_body(BUFFER_BYTES)
+        if reader.complete:
+            self._release(connection, head)
+            return Answered(head.status, head.headers, Body(first))
+        rest = self._iterate(connection, head)
+        return Answered(head.status, head.headers, Body(first, head.length, rest))
+
+    def _iterate(self, connection: Connection, head: Head) -> Iterator[bytes]:
+        done = False
+        connection.socket.settimeout(STALL_SECONDS)
+        try:
+            yield from connection.reader.iterate_rest()
+            done = True
+        finally:
+            if done:
+                self._release(connection, head)
+            else:
+                connection.close()
+
+    def _release(self, connection: Connection, head: Head) -> None:
+        if head.keep_alive and not connection.reader.pending:
+            self._pool.give(self._address, connection)
+        else:
+            connection.close()
+
+    def _fail(self, reason: UnknownReason, detail: str) -> Outcome:
+        assert self._connection is not None
+        self._connection.close()
+        if not self._handed_over:
+            return NotRun(NotRunReason.CONNECT_FAILED, detail)
+        if self._call.cancellation.cancelled:
+            return Unknown(UnknownReason.CANCELLED, detail)
+        return Unknown(reason, detail)
+
+
+Send = Callable[[Address, Call, Headers], Outcome]
+
+
+def make_send(pool: Pool, clock: Clock) -> Send:
+    """Return a function that sends a call to an address and tags its outcome."""
+
+    def send(address: Address, call: Call, headers: Headers) -> Outcome:
+        return _Exchange(pool, clock, address, call, headers).run()
+
+    return send
--- /dev/null
+++ b/src/fuchsiaspool/http/listeners.py
@@ -0,0 +1,25 @@
+"""Open listening sockets for WSGI servers."""
+
+from typing import Any
+
+import gevent.socket
+from gevent.socket import IPPROTO_TCP, TCP_NODELAY
+
+from ..addresses import Address
+
+BACKLOG = 256
+
+
+def listen(address: Address) -> Any:
+    """Listen without delayed small writes, which accepted sockets inherit.
+
+    The WSGI server writes header and body apart; without this each kept-alive
+    answer would wait for the peer's delayed acknowledgement.
+    """
+    family = gevent.socket.AF_INET6 if ":" in address.host else gevent.socket.AF_INET
+    socket = gevent.socket.socket(family, gevent.socket.SOCK_STREAM)
+    socket.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_REUSEADDR, 1)
+    socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+    socket.bind((address.host, address.port))
+    socket.listen(BACKLOG)
+    return socket
--- /dev/null
+++ b/src/fuchsiaspool/http/messages.py
@@ -0,0 +1,258 @@
+"""Read HTTP messages from a socket through the parser library."""
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any, Final
+
+import httptools
+
+from ..bodies import BUFFER_BYTES, BodyError, Headers
+
+RECEIVE_BYTES: Final = 65_536
+HEADER_BYTES: Final = 32_768
+HEADER_COUNT: Final = 128
+
+
+class MessageError(Exception):
+    """Tell that a peer sent something that is not a proper message."""
+
+
+class HeaderTooLargeError(MessageError):
+    """Tell that a header block is over the limit."""
+
+
+class ClosedError(Exception):
+    """Tell that the peer closed the connection; `began` if inside a message."""
+
+    def __init__(self, began: bool) -> None:
+        super().__init__("connection closed")
+        self.began = began
+
+
+@dataclass(slots=True)
+class Head:
+    """Hold the start line and headers of a message."""
+
+    headers: Headers
+    target: bytes = b""
+    method: str = ""
+    status: int = 0
+    keep_alive: bool = True
+    length: int | None = None
+    chunked: bool = False
+
+
+class _Message:
+    __slots__ = ("head", "headers", "target", "parts", "complete")
+
+    def __init__(self) -> None:
+        self.head: Head | None = None
+        self.headers: Headers = []
+        self.target = b""
+        self.parts: list[bytes] = []
+        self.complete = False
+
+
+class MessageReader:
+    """Turn bytes from one socket into messages, one after another."""
+
+    def __init__(self, socket: Any, for_requests: bool) -> None:
+        self.socket = socket
+        self._for_requests = for_requests
+        self._messages: deque[_Message] = deque()
+        self._header_bytes = 0
+        self._error: MessageError | None = None
+        if for_requests:
+            self._parser = httptools.HttpRequestParser(self)
+        else:
+            self._parser = httptools.HttpResponseParser(self)
+
+    def reset(self) -> None:
+        """Forget the first message and turn to the next one."""
+        if self._messages:
+            self._messages.popleft()
+
+    @property
+    def complete(self) -> bool:
+        """Tell if the first message has come whole."""
+        return bool(self._messages) and self._messages[0].complete
+
+    @property
+    def pending(self) -> bool:
+        """Tell if bytes beyond the first message have come."""
+        return len(self._messages) > 1 or self._error is not None
+
+    @property
+    def began(self) -> bool:
+        """Tell if any byte of a message has come."""
+        return bool(self._messages) or self._error is not None
+
+    def receive(self) -> None:
+        """Read once; raise `ClosedError`, `MessageError` or `OSError`."""
+        if self._error is not None:
+            raise self._error
+        data = self.socket.recv(RECEIVE_BYTES)
+        if not data:
+            raise ClosedError(self.began)
+        self._feed(data)
+
+    def read_head(self) -> Head:
+        """Return the next head; raise `ClosedError` or `MessageError`."""
+        while not self._messages or self._messages[0].head is None:
+            self.receive()
+        return self._messages[0].head
+
+    def read_body(self, limit: int = BUFFER_BYTES) -> bytes:
+        """Return the body's bytes up to about `limit`; `complete` tells if all."""
+        message = self._messages[0]
+        while not message.complete and sum(map(len, message.parts)) < limit:
+            self.receive()
+        return self._take(message)
+
+    def iterate_rest(self) -> Iterator[bytes]:
+        """Yield what follows of the body; raise `BodyError` if it is cut."""
+        message = self._messages[0]
+        while True:
+            piece = self._take(message)
+            if piece:
+                yield piece
+            if message.complete:
+                return
+            try:
+                self.receive()
+            except (ClosedError, MessageError, OSError) as error:
+                raise BodyError(str(error)) from error
+
+    def _take(self, message: _Message) -> bytes:
+        data = b"".join(message.parts)
+        message.parts.clear()
+        return data
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._error = MessageError("protocol upgrades are not served")
+        except httptools.HttpParserError as error:
+            cause = error.__context__
+            known = isinstance(cause, MessageError)
+            self._error = cause if known else MessageError(str(error))
+        self._check_header_size(len(data))
+        # Messages that came whole before the fault are still served.
+        if self._error is not None and not self.complete:
+            raise self._error
+
+    def _check_header_size(self, size: int) -> None:
+        if not self._messages or self._messages[-1].head is not None:
+            self._header_bytes = 0
+            return
+        self._header_bytes += size
+        if self._header_bytes > HEADER_BYTES and self._error is None:
+            self._error = HeaderTooLargeError(f"header over {HEADER_BYTES} bytes")
+
+    # The parser library calls the methods below.
+
+    def on_message_begin(self) -> None:
+        """Open a new message."""
+        self._messages.append(_Message())
+
+    def on_url(self, data: bytes) -> None:
+        """Collect the request target."""
+        self._messages[-1].target += data
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect one header."""
+        headers = self._messages[-1].headers
+        headers.append((name.lower(), value))
+        if len(headers) > HEADER_COUNT:
+            raise HeaderTooLargeError(f"over {HEADER_COUNT} headers")
+
+    def on_headers_complete(self) -> None:
+        """Build the head."""
+        message = self._messages[-1]
+        if sum(len(n) + len(v) for n, v in message.headers) > HEADER_BYTES:
+            raise HeaderTooLargeError(f"header over {HEADER_BYTES} bytes")
+        head = Head(message.headers, message.target)
+        head.keep_alive = self._parser.should_keep_alive()
+        if self._for_requests:
+            head.method = self._parser.get_method().decode()
+        else:
+            head.status = self._parser.get_status_code()
+        for name, value in message.headers:
+            if name == b"content-length":
+                head.length = int(value)
+            elif name == b"transfer-encoding":
+                head.chunked = value.lower().endswith(b"chunked")
+        message.head = head
+
+    def on_body(self, data: bytes) -> None:
+        """Collect a piece of the body."""
+        self._messages[-1].parts.append(data)
+
+    def on_message_complete(self) -> None:
+        """Mark the message whole, unless it only announces another one."""
+        message = self._messages[-1]
+        if message.head is not None and 100 <= message.head.status < 200:
+            self._messages.pop()
+            return
+        message.complete = True
+
+
+_HOP_HEADERS: Final = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"content-length",
+        b"upgrade",
+        b"expect",
+    )
+)
+
+INTERNAL_PREFIX: Final = b"fuchsiaspool-"
+
+
+def keep_end_to_end(headers: Headers) -> Headers:
+    """Drop the headers that concern one connection, and all internal ones."""
+    return [
+        pair
+        for pair in headers
+        if pair[0] not in _HOP_HEADERS and not pair[0].startswith(INTERNAL_PREFIX)
+    ]
+
+
+def find_header(headers: Headers, name: bytes) -> str | None:
+    """Return the first value of a lower-case header name."""
+    for key, value in headers:
+        if key == name:
+            return value.decode("latin-1")
+    return None
+
+
+def join_bare_head(start: bytes, headers: Headers) -> bytes:
+    """Build the bytes of a head that no body follows."""
+    lines = [start, *(name + b": " + value for name, value in headers), b"\r\n"]
+    return b"\r\n".join(lines)
+
+
+def join_head(start: bytes, headers: Headers, length: int | None) -> bytes:
+    """Build the bytes of a head; no `length` means chunks follow."""
+    lines = [start, *(name + b": " + value for name, value in headers)]
+    if length is None:
+        lines.append(b"transfer-encoding: chunked")
+    else:
+        lines.append(b"content-length: %d" % length)
+    lines.append(b"\r\n")
+    return b"\r\n".join(lines)
+
+
+def frame_chunk(data: bytes) -> bytes:
+    """Build the bytes of one chunk."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+LAST_CHUNK: Final = b"0\r\n\r\n"
--- /dev/null
+++ b/src/fuchsiaspool/http/server.py
@@ -0,0 +1,244 @@
+"""Serve HTTP connections and deliver each outcome to the caller it belongs to."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any, Final
+
+import gevent
+import gevent.socket
+import msgspec
+from gevent.server import StreamServer
+from gevent.socket import IPPROTO_TCP, TCP_NODELAY
+
+from ..addresses import Address
+from ..bodies import BUFFER_BYTES, Body, BodyError, Headers
+from ..calls import Cancellation
+from ..outcomes import Answered, NotRun, NotRunReason, Outcome, choose_status
+from .messages import (
+    LAST_CHUNK,
+    ClosedError,
+    Head,
+    HeaderTooLargeError,
+    MessageError,
+    MessageReader,
+    frame_chunk,
+    join_bare_head,
+    join_head,
+    keep_end_to_end,
+)
+from .sockets import Peek, peek
+
+_LOG = logging.getLogger(__name__)
+IDLE_SECONDS: Final = 60.0
+HEADER_SECONDS: Final = 5.0
+STALL_SECONDS: Final = 5.0
+BODY_SECONDS: Final = 30.0
+_READ_EVENT: Final = 1
+_REASONS: Final = {s.value: s.phrase.encode() for s in HTTPStatus}
+
+
+@dataclass(slots=True)
+class Request:
+    """Hold one request as it came from a connection."""
+
+    head: Head
+    body: Body
+    peer: str
+    cancellation: Cancellation
+
+
+@dataclass(slots=True)
+class Reply:
+    """Hold what goes back: an outcome, its extra headers, and what to do after."""
+
+    outcome: Outcome
+    headers: Headers
+    finish: Callable[[bool], None]
+
+
+Handle = Callable[[Request], Reply]
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """Tell a caller in a body what became of its request."""
+
+    outcome: str
+    reason: str
+    detail: str = ""
+
+
+class HttpServer:
+    """Accept connections on one address and hand requests to a function."""
+
+    def __init__(self, address: Address, handle: Handle, limit: int = 4096) -> None:
+        self._handle = handle
+        self._server = StreamServer(
+            (address.host, address.port), self._serve, spawn=limit, backlog=1024
+        )
+        self._idle: set[Any] = set()
+        self.stopping = False
+
+    def start(self) -> None:
+        """Bind and accept."""
+        self._server.start()
+
+    @property
+    def address(self) -> Address:
+        """Return the bound address."""
+        host, port = self._server.address[:2]
+        return Address(host, port)
+
+    def stop_accepting(self) -> None:
+        """Refuse new connections and close idle ones; requests go on."""
+        self.stopping = True
+        self._server.stop_accepting()
+        self._server.close()
+        for socket in list(self._idle):
+            _shut(socket)
+
+    def kill(self) -> None:
+        """Cut every connection."""
+        self.stopping = True
+        self._server.stop(timeout=0)
+
+    def _serve(self, socket: Any, peer: tuple[str, int]) -> None:
+        socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        reader = MessageReader(socket, for_requests=True)
+        try:
+            while self._serve_one(socket, reader, peer[0]):
+                reader.reset()
+        except (ClosedError, BodyError, OSError):
+            return
+        finally:
+            socket.close()
+
+    def _serve_one(self, socket: Any, reader: MessageReader, peer: str) -> bool:
+        try:
+            head = self._await_head(socket, reader)
+        except HeaderTooLargeError as error:
+            self._refuse(socket, NotRunReason.HEADER_TOO_LARGE, str(error))
+            return False
+        except MessageError as error:
+            self._refuse(socket, NotRunReason.BAD_REQUEST, str(error))
+            return False
+        socket.settimeout(STALL_SECONDS)
+        try:
+            body = self._read_body(socket, reader, head)
+        except TimeoutError:
+            self._refuse(socket, NotRunReason.BODY_STALLED, "body stalled")
+            return False
+        except MessageError as error:
+            self._refuse(socket, NotRunReason.BAD_REQUEST, str(error))
+            return False
+        return self._answer(socket, reader, Request(head, body, peer, Cancellation()))
+
+    def _await_head(self, socket: Any, reader: MessageReader) -> Head:
+        if not reader.began:
+            self._idle.add(socket)
+            try:
+                socket.settimeout(IDLE_SECONDS)
+                reader.receive()
+            finally:
+                self._idle.discard(socket)
+        if reader.complete:
+            return reader.read_head()
+        # Idle time is generous; a header once begun has to come swiftly.
+        with gevent.Timeout(HEADER_SECONDS, TimeoutError("header stalled")):
+            return reader.read_head()
+
+    def _read_body(self, socket: Any, reader: MessageReader, head: Head) -> Body:
+        if reader.complete:
+            return Body(reader.read_body())
+        for name, value in head.headers:
+            if name == b"expect" and value.lower() == b"100-continue":
+                socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+        with gevent.Timeout(BODY_SECONDS, TimeoutError("body stalled")):
+            first = reader.read_body(BUFFER_BYTES)
+        if reader.complete:
+            return Body(first)
+        return Body(first, head.length, reader.iterate_rest())
+
+    def _answer(self, socket: Any, reader: MessageReader, request: Request) -> bool:
+        watcher = gevent.get_hub().loop.io(socket.fileno(), _READ_EVENT)
+        if request.body.whole and not reader.pending:
+            watcher.start(_watch_caller, socket, watcher, request.cancellation)
+        reply = None
+        whole = False
+        try:
+            reply = self._handle(request)
+            watcher.stop()
+            keep = request.head.keep_alive and not self.stopping and reader.complete
+            whole = _deliver(socket, request.head.method, reply, keep)
+            return keep and whole
+        finally:
+            watcher.stop()
+            watcher.close()
+            if reply is not None:
+                reply.finish(whole)
+
+    def _refuse(self, socket: Any, reason: NotRunReason, detail: str) -> None:
+        _LOG.info("request refused", extra={"reason": reason.value, "detail": detail})
+        outcome = NotRun(reason, detail)
+        _deliver(socket, "GET", Reply(outcome, [], lambda whole: None), False)
+
+
+def _watch_caller(socket: Any, watcher: Any, cancellation: Cancellation) -> None:
+    found = peek(socket)
+    if found is Peek.QUIET:
+        return
+    watcher.stop()
+    if found is Peek.CLOSED:
+        cancellation.cancel()
+
+
+def _deliver(socket: Any, method: str, reply: Reply, keep: bool) -> bool:
+    outcome = reply.outcome
+    if isinstance(outcome, Answered):
+        status, body = outcome.status, outcome.body
+        headers = keep_end_to_end(outcome.headers)
+    else:
+        status = choose_status(outcome)
+        tag = "not-run" if isinstance(outcome, NotRun) else "unknown"
+        refusal = Refusal(tag, outcome.reason.value, outcome.detail)
+        body = Body(msgspec.json.encode(refusal))
+        headers = [(b"content-type", b"application/json")]
+        if status == 503:
+            headers.append((b"retry-after", b"1"))
+    headers = headers + reply.headers
+    if not keep:
+        headers.append((b"connection", b"close"))
+    start = b"HTTP/1.1 %d %b" % (status, _REASONS.get(status, b""))
+    socket.settimeout(STALL_SECONDS)
+    if status in (204, 304):
+        socket.sendall(join_bare_head(start, headers))
+        return True
+    data = join_head(start, headers, body.length)
+    if body.whole:
+        if method != "HEAD":
+            data += body.head
+        socket.sendall(data)
+        return True
+    return _stream(socket, data, body)
+
+
+def _stream(socket: Any, data: bytes, body: Body) -> bool:
+    # A cut body ends the connection without the last chunk or the full length,
+    # so that no caller can take a truncated answer for a whole one.
+    socket.sendall(data)
+    sent = 0
+    for piece in body:
+        sent += len(piece)
+        socket.sendall(frame_chunk(piece) if body.length is None else piece)
+    if body.length is None:
+        socket.sendall(LAST_CHUNK)
+        return True
+    return sent == body.length
+
+
+def _shut(socket: Any) -> None:
+    try:
+        socket.shutdown(gevent.socket.SHUT_RDWR)
+    except OSError:
+        return
--- /dev/null
+++ b/src/fuchsiaspool/ids.py
@@ -0,0 +1,20 @@
+"""Name the identifiers that every module shares."""
+
+from typing import NewType
+
+RequestId = NewType("RequestId", str)
+CallerId = NewType("CallerId", str)
+ServiceName = NewType("ServiceName", str)
+OperationName = NewType("OperationName", str)
+ClassName = NewType("ClassName", str)
+NodeId = NewType("NodeId", str)
+DataCentre = NewType("DataCentre", str)
+Region = NewType("Region", str)
+TeamName = NewType("TeamName", str)
+SubtreePath = NewType("SubtreePath", str)
+OperationKey = NewType("OperationKey", str)
+Token = NewType("Token", str)
+Nonce = NewType("Nonce", str)
+Revision = NewType("Revision", int)
+Version = NewType("Version", int)
+Incarnation = NewType("Incarnation", int)
--- /dev/null
+++ b/src/fuchsiaspool/operations/__init__.py
@@ -0,0 +1,1 @@
+"""Run protected operations at most once."""
--- /dev/null
+++ b/src/fuchsiaspool/operations/keys.py
@@ -0,0 +1,61 @@
+"""Place idempotency keys, which carry their time of issue, in shards."""
+
+import uuid
+from enum import Enum
+from hashlib import blake2b
+from typing import Final
+
+from ..ids import OperationKey
+from ..platform.objects import ObjectKey
+from ..results import Err, Ok, Result
+
+WINDOW_SECONDS: Final = 600
+KEPT_SECONDS: Final = 86_400
+AHEAD_SECONDS: Final = 300
+SHARDS: Final = 8
+PREFIX: Final = "operations/"
+_TIME_BITS: Final = 80
+_MILLI: Final = 1000.0
+_TIMED_VERSION: Final = 7
+
+
+class KeyFault(Enum):
+    """Say why an idempotency key can't be used."""
+
+    MALFORMED = "expected a UUID of version 7"
+    EXPIRED = "issued before the kept window"
+    AHEAD = "issued in the future"
+
+
+def place_key(key: OperationKey, wall: float) -> Result[ObjectKey, KeyFault]:
+    """Return the shard object that alone may hold a key."""
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return Err(KeyFault.MALFORMED)
+    if parsed.version != _TIMED_VERSION:
+        return Err(KeyFault.MALFORMED)
+    issued = (parsed.int >> _TIME_BITS) / _MILLI
+    if issued < wall - KEPT_SECONDS:
+        return Err(KeyFault.EXPIRED)
+    if issued > wall + AHEAD_SECONDS:
+        return Err(KeyFault.AHEAD)
+    window = int(issued // WINDOW_SECONDS)
+    digest = blake2b(parsed.bytes, digest_size=2).digest()
+    number = int.from_bytes(digest, "big") % SHARDS
+    return Ok(ObjectKey(f"{PREFIX}{window}/{number}"))
+
+
+def is_disposable(shard: ObjectKey, wall: float) -> bool:
+    """Tell if no key of a shard can be used any more."""
+    window = int(shard.removeprefix(PREFIX).partition("/")[0])
+    # A whole window more, so that clocks that differ delete nothing in use.
+    return (window + 2) * WINDOW_SECONDS < wall - KEPT_SECONDS
+
+
+def make_key(wall: float, chance: int) -> OperationKey:
+    """Make a key that was issued at `wall`, from 74 random bits."""
+    number = int(wall * _MILLI) << _TIME_BITS
+    number |= 0x7 << 76 | ((chance >> 62) & 0xFFF) << 64
+    number |= 0b10 << 62 | (chance & ((1 << 62) - 1))
+    return OperationKey(str(uuid.UUID(int=number)))
--- /dev/null
+++ b/src/fuchsiaspool/operations/ownership.py
@@ -0,0 +1,82 @@
+"""Send the changes of a shard to the one node that commits them."""
+
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from ..addresses import Address, parse_address
+from ..clock import Clock, Waiter
+from ..controllers.balancer import hash_pair
+from ..controllers.members import Member, MemberState
+from ..ids import NodeId
+from ..peers.messages import CommitAsk, CommitTell, Envelope
+from ..platform.objects import ObjectKey
+from .changes import Change, Verdict
+from .commits import GroupCommitter
+
+ASK_SECONDS: Final = 0.3
+
+
+def choose_owner(shard: ObjectKey, members: Iterable[Member]) -> Member | None:
+    """Choose a shard's owner among the living by rendezvous hash."""
+    alive = [m for m in members if m.state is MemberState.ALIVE]
+    return min(alive, key=lambda m: hash_pair(shard, m.node), default=None)
+
+
+class ShardOwners:
+    """Commit changes through the owner, or directly where it does not answer.
+
+    Two owners at once do no harm: the object's version is the fence, and a change
+    that is committed twice changes nothing the second time.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        node: NodeId,
+        committer: GroupCommitter,
+        list_members: Callable[[], Iterable[Member]],
+        send: Callable[[Address, CommitAsk | CommitTell], None],
+    ) -> None:
+        self._clock = clock
+        self._node = node
+        self._committer = committer
+        self._list_members = list_members
+        self._send = send
+        self._sequence = 0
+        self._waiting: dict[int, tuple[Waiter, list[Verdict]]] = {}
+
+    def commit(self, shard: ObjectKey, change: Change) -> Verdict:
+        """Block until the change holds, is forbidden, or could not be written."""
+        owner = choose_owner(shard, self._list_members())
+        if owner is not None and owner.node != self._node:
+            verdict = self._ask(owner, shard, change)
+            if verdict is not None:
+                return verdict
+        return self._committer.commit(shard, change)
+
+    def receive_ask(self, body: CommitAsk, envelope: Envelope) -> None:
+        """Commit for another node."""
+        self._clock.spawn(self._commit_for, body, parse_address(envelope.address))
+
+    def receive_tell(self, body: CommitTell, envelope: Envelope) -> None:
+        """Take the owner's verdict."""
+        found = self._waiting.get(body.sequence)
+        if found is not None:
+            waiter, verdicts = found
+            verdicts.append(body.verdict)
+            waiter.notify()
+
+    def _commit_for(self, body: CommitAsk, sender: Address) -> None:
+        verdict = self._committer.commit(ObjectKey(body.shard), body.change)
+        self._send(sender, CommitTell(body.sequence, verdict))
+
+    def _ask(self, owner: Member, shard: ObjectKey, change: Change) -> Verdict | None:
+        self._sequence += 1
+        sequence = self._sequence
+        waiter = self._clock.waiter()
+        verdicts: list[Verdict] = []
+        self._waiting[sequence] = (waiter, verdicts)
+        self._send(parse_address(owner.peers), CommitAsk(sequence, shard, change))
+        waiter.wait(ASK_SECONDS)
+        del self._waiting[sequence]
+        return verdicts[0] if verdicts else None
--- /dev/null
+++ b/src/fuchsiaspool/outcomes.py
@@ -0,0 +1,115 @@
+"""Tag how a call ended, so that every hop can tell what is safe to repeat."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Final
+
+from .bodies import Body, Headers
+
+# Above every rank, so that nothing is shed.
+NO_THRESHOLD: Final = 8.0
+
+
+class NotRunReason(Enum):
+    """Say why it is certain that the backend server never started the call."""
+
+    SHED = "shed"
+    QUEUE_FULL = "queue-full"
+    DEADLINE = "deadline"
+    CANCELLED = "cancelled"
+    LEAVING = "leaving"
+    CONNECT_FAILED = "connect-failed"
+    SERVER_REFUSED = "server-refused"
+    NO_SERVER = "no-server"
+    LINK_BUDGET = "link-budget"
+    UNKNOWN_SERVICE = "unknown-service"
+    BAD_REQUEST = "bad-request"
+    BAD_CONTEXT = "bad-context"
+    HEADER_TOO_LARGE = "header-too-large"
+    BODY_STALLED = "body-stalled"
+    KEY_REQUIRED = "key-required"
+    KEY_EXPIRED = "key-expired"
+    KEY_REUSED = "key-reused"
+    CLAIM_UNAVAILABLE = "claim-unavailable"
+    NOT_READY = "not-ready"
+
+
+class UnknownReason(Enum):
+    """Say why the backend server may have run the call."""
+
+    RESET = "reset"
+    TIMEOUT = "timeout"
+    TRUNCATED = "truncated"
+    UNFRAMED = "unframed"
+    BAD_ANSWER = "bad-answer"
+    CANCELLED = "cancelled"
+    IN_PROGRESS = "in-progress"
+    UNRESOLVED = "unresolved"
+    ANSWER_NOT_KEPT = "answer-not-kept"
+
+
+@dataclass(slots=True)
+class Answered:
+    """Hold a whole answer, checked against its length or framing."""
+
+    status: int
+    headers: Headers
+    body: Body
+    spent: int = 0
+    threshold: float = NO_THRESHOLD
+
+
+@dataclass(slots=True)
+class NotRun:
+    """Say that the backend server certainly did not start the call."""
+
+    reason: NotRunReason
+    detail: str = ""
+    spent: int = 0
+    threshold: float = NO_THRESHOLD
+
+
+@dataclass(slots=True)
+class Unknown:
+    """Say that the backend server may have run the call."""
+
+    reason: UnknownReason
+    detail: str = ""
+    spent: int = 0
+    threshold: float = NO_THRESHOLD
+
+
+Outcome = Answered | NotRun | Unknown
+
+_NOT_RUN_STATUS: Final = {
+    NotRunReason.DEADLINE: 504,
+    NotRunReason.UNKNOWN_SERVICE: 404,
+    NotRunReason.BAD_REQUEST: 400,
+    NotRunReason.BAD_CONTEXT: 400,
+    NotRunReason.HEADER_TOO_LARGE: 431,
+    NotRunReason.BODY_STALLED: 408,
+    NotRunReason.KEY_REQUIRED: 428,
+    NotRunReason.KEY_EXPIRED: 410,
+    NotRunReason.KEY_REUSED: 422,
+}
+_UNKNOWN_STATUS: Final = {
+    UnknownReason.TIMEOUT: 504,
+    UnknownReason.IN_PROGRESS: 409,
+    UnknownReason.UNRESOLVED: 409,
+    UnknownReason.ANSWER_NOT_KEPT: 409,
+}
+
+
+def choose_status(outcome: NotRun | Unknown) -> int:
+    """Return the HTTP status that tells a caller of a refusal or doubt."""
+    if isinstance(outcome, NotRun):
+        return _NOT_RUN_STATUS.get(outcome.reason, 503)
+    return _UNKNOWN_STATUS.get(outcome.reason, 502)
+
+
+@dataclass(frozen=True, slots=True)
+class Completion:
+    """Say how the delivery of an outcome ended."""
+
+    whole: bool
+    seconds: float = field(default=0.0)
--- /dev/null
+++ b/src/fuchsiaspool/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange messages with other nodes."""
--- /dev/null
+++ b/src/fuchsiaspool/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Talk to the platform's object service."""
--- /dev/null
+++ b/src/fuchsiaspool/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Read, check and agree on settings."""
--- /dev/null
+++ b/src/fuchsiaspool/settings/objects.py
@@ -0,0 +1,66 @@
+"""Define how the settings tree is kept in the platform."""
+
+from hashlib import blake2b
+from typing import Final
+
+import msgspec
+
+from ..ids import Nonce, Revision, SubtreePath, TeamName
+from ..platform.objects import ObjectKey
+
+PREFIX: Final = "settings/"
+ROOT_KEY: Final = ObjectKey("settings/root")
+HISTORY_KEPT: Final = 50
+
+
+class SubtreeRef(msgspec.Struct, frozen=True):
+    """Point to the text of one subtree and tell when it last changed."""
+
+    object: ObjectKey
+    digest: str
+    changed: Revision
+
+
+class HistoryEntry(msgspec.Struct, frozen=True):
+    """Tell of one accepted change; `when` is in seconds since the Unix epoch."""
+
+    revision: Revision
+    nonce: Nonce
+    team: TeamName
+    when: float
+    paths: list[SubtreePath]
+    replaced: list[ObjectKey]
+
+
+class TreeRoot(msgspec.Struct, frozen=True):
+    """Name every subtree's text; its conditional update is the acceptance."""
+
+    revision: Revision = Revision(0)
+    subtrees: dict[SubtreePath, SubtreeRef] = {}
+    history: list[HistoryEntry] = []
+
+
+class Bundle(msgspec.Struct, frozen=True):
+    """Hold one whole revision of the tree."""
+
+    revision: Revision
+    texts: dict[SubtreePath, str]
+    changed: dict[SubtreePath, Revision]
+
+
+def hash_text(text: str) -> str:
+    """Return the digest of one subtree's text."""
+    return blake2b(text.encode(), digest_size=12).hexdigest()
+
+
+def hash_tree(texts: dict[SubtreePath, str]) -> str:
+    """Return the digest of a whole tree."""
+    digest = blake2b(digest_size=12)
+    for path in sorted(texts):
+        digest.update(f"{path}={hash_text(texts[path])};".encode())
+    return digest.hexdigest()
+
+
+def decode_root(value: bytes) -> TreeRoot:
+    """Read a root object; raise `msgspec.DecodeError`."""
+    return msgspec.json.decode(value, type=TreeRoot)
--- /dev/null
+++ b/src/fuchsiaspool/settings/sections.py
@@ -0,0 +1,132 @@
+"""Define every option of the settings tree, with its type, unit and bounds."""
+
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+
+class ClassSection(
+    Struct, frozen=True, kw_only=True, forbid_unknown_fields=True, rename="kebab"
+):
+    """Define a class of calls by its importance."""
+
+    priority: Annotated[
+        int,
+        Meta(ge=0, le=7, description="Importance; 0 is shed last and is critical."),
+    ]
+
+
+_Retries = Annotated[
+    int, Meta(ge=0, le=5, description="Retries granted to one caller's request, R.")
+]
+_RetryPercent = Annotated[
+    int, Meta(ge=0, le=50, description="Retries per 100 first attempts of a service.")
+]
+_LongestDeadline = Annotated[
+    int, Meta(ge=1, le=3_600_000, description="Longest deadline of a call, in ms.")
+]
+_LongestWait = Annotated[
+    int, Meta(ge=1, le=60_000, description="Longest wait in a queue, in ms.")
+]
+_RegionRate = Annotated[
+    int,
+    Meta(
+        ge=0,
+        le=10_000_000,
+        description="What one node may send between regions, in kbit/s.",
+    ),
+]
+
+
+class LimitsSection(
+    Struct, frozen=True, kw_only=True, forbid_unknown_fields=True, rename="kebab"
+):
+    """Bound what a subtree and all below it may use; a child may only tighten."""
+
+    retry_allowance: _Retries | None = None
+    retry_percent: _RetryPercent | None = None
+    deadline_ms: _LongestDeadline | None = None
+    queue_ms: _LongestWait | None = None
+    region_kbit: _RegionRate | None = None
+
+
+class ServiceSection(
+    Struct, frozen=True, kw_only=True, forbid_unknown_fields=True, rename="kebab"
+):
+    """Describe the backend servers of one service."""
+
+    slots: Annotated[
+        int, Meta(ge=1, le=100_000, description="Calls one server runs at once.")
+    ] = 100
+    connections: Annotated[
+        int, Meta(ge=1, le=100_000, description="Connections one server accepts.")
+    ] = 500
+    queue_target_ms: Annotated[
+        int,
+        Meta(ge=1, le=10_000, description="Queue delay above which it sheds, in ms."),
+    ] = 20
+    default_class: Annotated[
+        str, Meta(description="Class of operations that name none.")
+    ] = "default"
+
+
+class OperationSection(
+    Struct, frozen=True, kw_only=True, forbid_unknown_fields=True, rename="kebab"
+):
+    """Describe one kind of call of a service."""
+
+    match: Annotated[
+        str,
+        Meta(min_length=3, description="Method and path, such as `GET /permits/*`."),
+    ]
+    call_class: Annotated[str, Meta(description="Name of the operation's class.")] = ""
+    idempotent: Annotated[
+        bool, Meta(description="Whether it may run again after an unknown outcome.")
+    ] = False
+    protected: Annotated[
+        bool, Meta(description="Whether it runs at most once, by idempotency key.")
+    ] = False
+    deadline_ms: Annotated[
+        int, Meta(ge=1, le=3_600_000, description="Deadline of a call, in ms.")
+    ] = 2_000
+
+
+class OwnerSection(
+    Struct, frozen=True, kw_only=True, forbid_unknown_fields=True, rename="kebab"
+):
+    """Name the team that may change a subtree."""
+
+    team: Annotated[str, Meta(min_length=1, description="Owner of the subtree.")]
+    token_sha256: Annotated[
+        str,
+        Meta(
+            pattern="^([0-9a-f]{64})?$",
+            description="SHA-256 of the token that changes must show, or empty.",
+        ),
+    ] = ""
+
+
+class NodeSection(
+    Struct, frozen=True, kw_only=True, forbid_unknown_fields=True, rename="kebab"
+):
+    """Place one node: its names, its addresses and whom it asks at start."""
+
+    id: Annotated[str, Meta(min_length=1, description="Name of the node.")]
+    service: Annotated[str, Meta(min_length=1, description="Service it stands in.")]
+    data_centre: Annotated[str, Meta(min_length=1, description="Its data centre.")]
+    region: Annotated[str, Meta(min_length=1, description="Its region.")]
+    callers: Annotated[str, Meta(description="Where callers connect, as IP:port.")]
+    mesh: Annotated[str, Meta(description="Where other nodes connect, as IP:port.")]
+    egress: Annotated[str, Meta(description="Where its own server connects.")]
+    control: Annotated[str, Meta(description="Where operators connect.")]
+    peers: Annotated[str, Meta(description="Where heartbeats arrive, as IP:port.")]
+    server: Annotated[str, Meta(description="Its backend server, as IP:port.")]
+    platform: Annotated[
+        str, Meta(description="The platform's object API, as IP:port, or empty.")
+    ] = ""
+    contacts: Annotated[
+        str, Meta(description="Peers to ask at start, as IP:port, comma separated.")
+    ] = ""
+    grace_ms: Annotated[
+        int, Meta(ge=0, le=3_600_000, description="Longest graceful stop, in ms.")
+    ] = 30_000
--- /dev/null
+++ b/src/fuchsiaspool/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform and for backend servers."""
--- /dev/null
+++ b/src/fuchsiaspool/standins/server.py
@@ -0,0 +1,139 @@
+"""Stand in for a backend server with slots, delays, drain and faults."""
+
+from dataclasses import dataclass, field
+
+import gevent
+import gevent.lock
+
+from ..addresses import Address
+from ..allowance import Allowance
+from ..bodies import Body, Headers
+from ..calls import Call
+from ..clock import SystemClock
+from ..dispatch import REFUSAL_HEADER, TOKEN_HEADER
+from ..http.client import Pool, make_send
+from ..http.messages import find_header
+from ..http.server import HttpServer, Reply, Request
+from ..ids import CallerId, RequestId, ServiceName
+from ..outcomes import Answered, Outcome
+
+CHILD_SECONDS = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class ChildCall:
+    """Say what a stand-in calls while it serves: a service and a path."""
+
+    service: ServiceName
+    target: str
+    address: Address
+
+
+@dataclass(slots=True)
+class ServerPlan:
+    """Say how a stand-in behaves; times in seconds, sizes in bytes.
+
+    With `refuses` it turns calls away when its slots are full, otherwise they
+    wait in line without bound.
+    """
+
+    slots: int = 20
+    service_time: float = 0.01
+    answer_size: int = 64
+    children: tuple[ChildCall, ...] = ()
+    refuses: bool = True
+
+
+@dataclass(slots=True)
+class ServerRecord:
+    """Hold what a stand-in did, and the idempotency keys it ran."""
+
+    started: int = 0
+    refused: int = 0
+    cancelled: int = 0
+    keys: list[str] = field(default_factory=list)
+
+
+class ServerStandin:
+    """Serve calls in a fixed number of slots, and call children meanwhile."""
+
+    def __init__(self, address: Address, plan: ServerPlan) -> None:
+        self.plan = plan
+        self.record = ServerRecord()
+        self._clock = SystemClock()
+        self._pool = Pool()
+        self._send = make_send(self._pool, self._clock)
+        self._slots = gevent.lock.BoundedSemaphore(plan.slots)
+        self._server = HttpServer(address, self._handle)
+
+    @property
+    def address(self) -> Address:
+        """Return the bound address."""
+        return self._server.address
+
+    def start(self) -> None:
+        """Accept requests."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Refuse new connections."""
+        self._server.stop_accepting()
+        self._pool.close()
+
+    def kill(self) -> None:
+        """Cut every connection."""
+        self._server.kill()
+        self._pool.close()
+
+    def _handle(self, request: Request) -> Reply:
+        if not self._slots.acquire(blocking=not self.plan.refuses):
+            self.record.refused += 1
+            return _reply(503, b"", [(REFUSAL_HEADER, b"full")])
+        try:
+            return self._run(request)
+        finally:
+            self._slots.release()
+
+    def _run(self, request: Request) -> Reply:
+        self.record.started += 1
+        key = find_header(request.head.headers, b"idempotency-key")
+        if key is not None:
+            self.record.keys.append(key)
+        for _ in request.body:
+            continue
+        gevent.sleep(self.plan.service_time)
+        for child in self.plan.children:
+            if request.cancellation.cancelled:
+                self.record.cancelled += 1
+                return _reply(503, b"cancelled", [])
+            outcome = self._call_child(request, child)
+            if not isinstance(outcome, Answered) or outcome.status != 200:
+                return _reply(503, b"child failed", [])
+        return _reply(200, b"x" * self.plan.answer_size, [])
+
+    def _call_child(self, request: Request, child: ChildCall) -> Outcome:
+        token = find_header(request.head.headers, TOKEN_HEADER) or ""
+        headers: Headers = [
+            (b"host", child.service.encode()),
+            (TOKEN_HEADER, token.encode()),
+        ]
+        now = self._clock.now()
+        call = Call(
+            RequestId(""),
+            CallerId(""),
+            child.service,
+            "GET",
+            child.target,
+            headers,
+            Body(),
+            now,
+            now + CHILD_SECONDS,
+            Allowance(0),
+            cancellation=request.cancellation,
+        )
+        return self._send(child.address, call, headers)
+
+
+def _reply(status: int, body: bytes, headers: Headers) -> Reply:
+    # Internal headers go beside the answer, which is stripped of its own.
+    return Reply(Answered(status, [], Body(body)), headers, lambda whole: None)
--- /dev/null
+++ b/src/fuchsiaspool/watching.py
@@ -0,0 +1,85 @@
+"""Bring settings from the platform: by watch on a few nodes, by poll on all."""
+
+import random
+from collections.abc import Callable
+from typing import Final
+
+from .clock import Clock
+from .controllers.settings import SettingsKeeper
+from .ids import Version
+from .platform.objects import ObjectKey, Platform, ReadFault
+from .results import Err, Ok
+from .settings.objects import PREFIX, ROOT_KEY
+from .settings.store import load_tree
+
+WATCH_SECONDS: Final = 30.0
+POLL_SECONDS: Final = 60.0
+PAUSE_SECONDS: Final = 1.0
+
+
+class SettingsWatch:
+    """Load the tree when its root changes."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        platform: Platform,
+        keeper: SettingsKeeper,
+        is_watcher: Callable[[], bool],
+        chance: random.Random,
+    ) -> None:
+        self._clock = clock
+        self._platform = platform
+        self._keeper = keeper
+        self._is_watcher = is_watcher
+        self._chance = chance
+        self._texts: dict[ObjectKey, str] = {}
+
+    def load(self) -> bool:
+        """Read the tree and adopt it if it is newer; tell if it could be read."""
+        loaded = load_tree(self._platform, self._texts)
+        if isinstance(loaded, Err):
+            return False
+        tree = loaded.value
+        refs = tree.root.subtrees
+        self._texts = {refs[p].object: t for p, t in tree.bundle.texts.items()}
+        self._keeper.adopt(tree.bundle)
+        return True
+
+    def loop(self) -> None:
+        """Watch or poll for ever."""
+        since: Version | None = None
+        while True:
+            if not self._is_watcher():
+                since = None
+                self._clock.sleep(POLL_SECONDS * self._chance.uniform(0.5, 1.5))
+                self.load()
+                continue
+            since = self.watch(since)
+
+    def watch(self, since: Version | None) -> Version | None:
+        """Wait once for a change; return from where to go on."""
+        if since is None:
+            since = self._list()
+            if since is None:
+                self._clock.sleep(PAUSE_SECONDS * self._chance.uniform(0.5, 1.5))
+                return None
+            self.load()
+        found = self._platform.watch(ROOT_KEY, since, WATCH_SECONDS)
+        match found:
+            case Ok(events):
+                if events.items and not self.load():
+                    # The change is still to be read: look again from before it.
+                    self._clock.sleep(PAUSE_SECONDS)
+                    return since
+                return max(since, events.version)
+            case Err(ReadFault.VERSION_TOO_OLD):
+                return None
+        self._clock.sleep(PAUSE_SECONDS * self._chance.uniform(0.5, 1.5))
+        return None
+
+    def _list(self) -> Version | None:
+        match self._platform.list_prefix(PREFIX + "root"):
+            case Ok(listing):
+                return listing.version
+        return None
