--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,6 @@
 format: setup
 	$(BIN)/ruff format src tests
 	$(BIN)/ruff check --fix src tests
+
+bench-overhead: setup
+	$(BIN)/python -m fuchsiaspool.benchmarks.overhead
--- /dev/null
+++ b/src/fuchsiaspool/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the product against its own earlier or simpler forms."""
--- a/src/fuchsiaspool/commands/node.py
+++ b/src/fuchsiaspool/commands/node.py
@@ -16,6 +16,7 @@
 from ..node import Node
 from ..options import read_options
 from ..results import Err
+from ..runtime import tune_collector
 
 _LOG = logging.getLogger(__name__)
 EXIT_SETTINGS = 2
@@ -64,6 +65,7 @@
     gevent.signal_handler(signal.SIGTERM, stop)
     gevent.signal_handler(signal.SIGINT, stop)
     node.start()
+    tune_collector()
     node.stopped.wait()
     _LOG.info("stopped")
 
--- a/src/fuchsiaspool/controllers/balancer.py
+++ b/src/fuchsiaspool/controllers/balancer.py
@@ -1,5 +1,6 @@
 """Choose the server for each attempt from what this node sees itself."""
 
+import math
 import random
 from collections.abc import Callable, Set
 from dataclasses import dataclass
@@ -23,7 +24,10 @@
 
 SUBSET_SIZE: Final = 12
 LATENCY_GAIN: Final = 0.2
-FIRST_LATENCY_SECONDS: Final = 0.01
+LATENCY_HALF_SECONDS: Final = 5.0
+# Keeps servers that are about as fast sharing the load.
+CLEARLY_BETTER: Final = 0.8
+FIRST_LATENCY_SECONDS: Final = 0.001
 FAILURE_LATENCY_SECONDS: Final = 1.0
 FAILURES_TO_EJECT: Final = 5
 EJECT_SECONDS: Final = 3.0
@@ -54,11 +58,18 @@
     answered: int = 0
     threshold: float = NO_THRESHOLD
 
+    seen: float = 0.0
+
+    def find_score(self, now: float) -> float:
+        """Return the cost of one more call; lower is better, and old news fade."""
+        age = max(0.0, now - self.seen)
+        latency = self.latency * math.pow(0.5, age / LATENCY_HALF_SECONDS)
+        return (self.in_flight + 1) * max(latency, FIRST_LATENCY_SECONDS)
+
     @property
-    def score(self) -> float:
-        """Return the cost of one more call; lower is better."""
-        weight = min(1.0, RAMP_LEAST + self.answered / RAMP_ANSWERS)
-        return (self.in_flight + 1) * self.latency / weight
+    def ramp(self) -> float:
+        """Return the share of choices that a cold server takes part in."""
+        return min(1.0, RAMP_LEAST + self.answered / RAMP_ANSWERS)
 
 
 class Balancer:
@@ -109,6 +120,7 @@
         """Learn from how an attempt ended."""
         track = self._track(member.node)
         track.in_flight -= 1
+        track.seen = self._clock.now()
         track.threshold = outcome.threshold
         if self._is_crossing(member):
             self._link.charge(_measure(outcome))
@@ -186,13 +198,20 @@
             for member in usable:
                 if member.node == self._place.node:
                     return member
-        if len(usable) == 1:
-            return usable[0]
-        first, second = self._chance.sample(usable, 2)
-        if self._track(second.node).score < self._track(first.node).score:
+        warm = [m for m in usable if self._may_take_part(m)] or usable
+        if len(warm) == 1:
+            return warm[0]
+        first, second = self._chance.sample(warm, 2)
+        now = self._clock.now()
+        bound = self._track(first.node).find_score(now) * CLEARLY_BETTER
+        if self._track(second.node).find_score(now) < bound:
             return second
         return first
 
+    def _may_take_part(self, member: Member) -> bool:
+        ramp = self._track(member.node).ramp
+        return ramp >= 1.0 or self._chance.random() < ramp
+
 
 def choose_subset(node: NodeId, members: list[Member], size: int) -> list[Member]:
     """Choose a fixed few of many members by rendezvous hash."""
--- a/src/fuchsiaspool/controllers/members.py
+++ b/src/fuchsiaspool/controllers/members.py
@@ -60,12 +60,16 @@
         known = self._members.get(member.node)
         if known is not None and not member.replaces(known):
             return False
+        self.overrule(member)
+        return True
+
+    def overrule(self, member: Member) -> None:
+        """Put a record in the place of whatever was there."""
         self._members[member.node] = member
         self._services.pop(member.service, None)
         self.version += 1
         for listener in self._listeners:
             listener(member)
-        return True
 
     def drop(self, node: NodeId) -> None:
         """Forget a node whose death is old."""
--- a/src/fuchsiaspool/controllers/membership.py
+++ b/src/fuchsiaspool/controllers/membership.py
@@ -19,15 +19,19 @@
 INDIRECT_PEERS: Final = 3
 UPDATES_PER_MESSAGE: Final = 8
 SPREAD_FACTOR: Final = 3
-# A larger share of suspects tells more of the judge than of the judged.
-SUSPECT_SHARE: Final = 0.3
-SUSPECT_LEAST: Final = 3
-PUSH_PEERS: Final = 3
+# As many peers silent in a row tell more of the judge than of the judged.
+ISOLATED_PEERS: Final = 3
+# Now and then the dead are asked too, so that halves of a cut find together.
+DEAD_PERIODS: Final = 5
+PUSH_PEERS: Final = 4
+PUSH_ABROAD: Final = 2
+PUSH_AGAIN_SECONDS: Final = 0.5
 # News that comes within this time goes out together.
 PUSH_SECONDS: Final = 0.05
 TOMBSTONE_SECONDS: Final = 600.0
 # A node that did not tick for this long may have been declared dead meanwhile.
 PAUSE_SECONDS: Final = 5.0
+_DOUBTED: Final = (MemberState.SUSPECT, MemberState.DEAD)
 
 
 class Membership:
@@ -52,6 +56,8 @@
         self._relayed: dict[int, tuple[int, Address]] = {}
         self._news: dict[NodeId, int] = {}
         self._round: list[NodeId] = []
+        self._missed: set[NodeId] = set()
+        self._ticks = 0
         self._suspected: dict[NodeId, float] = {}
         self._died: dict[NodeId, float] = {}
         self._last_tick = clock.now()
@@ -67,9 +73,12 @@
         self._last_tick = now
         self._judge_suspects()
         self._drop_tombstones()
+        self._ticks += 1
         target = self._next_target()
         if target is not None:
             self._ping(target)
+        if self._ticks % DEAD_PERIODS == 0:
+            self._ask_the_dead()
 
     def join(self, contacts: tuple[Address, ...]) -> None:
         """Ask contacts for all members they know."""
@@ -116,11 +125,14 @@
             self._table.merge(member)
 
     def receive_ping(self, body: Ping, envelope: Envelope) -> None:
-        """Answer a ping."""
-        if self._table.find(envelope.sender) is None:
-            # The sender is unknown here: ask it who it is.
-            self._send(parse_address(envelope.address), Sync([self.own], True))
-        self._send(parse_address(envelope.address), Ack(body.sequence))
+        """Answer a ping, and tell the sender what is thought of it."""
+        address = parse_address(envelope.address)
+        known = self._table.find(envelope.sender)
+        if known is None:
+            self._send(address, Sync([self.own], wants_reply=True))
+        elif known.state in _DOUBTED:
+            self._send(address, Sync([known]))
+        self._send(address, Ack(body.sequence))
 
     def receive_ack(self, body: Ack, envelope: Envelope) -> None:
         """Take a sign of life."""
@@ -128,6 +140,7 @@
         timer = self._waiting.pop(body.sequence, None)
         if timer is not None:
             timer.stop()
+            self._retract()
         relay = self._relayed.pop(body.sequence, None)
         if relay is not None:
             sequence, address = relay
@@ -158,7 +171,11 @@
             ACK_SECONDS, lambda: self._ask_others(sequence, target)
         )
         self._waiting[sequence] = timer
-        self._send(parse_address(target.peers), Ping(sequence))
+        address = parse_address(target.peers)
+        if target.state in _DOUBTED:
+            # It can refute only what it hears of.
+            self._send(address, Sync([target]))
+        self._send(address, Ping(sequence))
 
     def _ask_others(self, sequence: int, target: Member) -> None:
         others = [m for m in self._list_peers() if m.node != target.node]
@@ -176,17 +193,29 @@
 
     def _suspect(self, sequence: int, target: Member) -> None:
         self._waiting.pop(sequence, None)
+        self._missed.add(target.node)
         known = self._table.find(target.node)
         if known is None or known.state is not MemberState.ALIVE:
             return
         suspect = msgspec.structs.replace(known, state=MemberState.SUSPECT)
         self._table.merge(suspect)
 
+    @property
+    def isolated(self) -> bool:
+        """Tell if this node hears from nobody and had better judge nobody."""
+        return len(self._missed) >= ISOLATED_PEERS
+
+    def _retract(self) -> None:
+        # Whoever was cut off and hears from peers again was wrong about them.
+        for node in list(self._suspected) if self.isolated else ():
+            member = self._table.find(node)
+            if member is not None and member.state is MemberState.SUSPECT:
+                alive = msgspec.structs.replace(member, state=MemberState.ALIVE)
+                self._table.overrule(alive)
+        self._missed.clear()
+
     def _judge_suspects(self) -> None:
-        peers = self._list_peers()
-        bound = max(SUSPECT_LEAST, SUSPECT_SHARE * len(peers))
-        if len(self._suspected) > bound:
-            # So many at once: this node is cut off, and condemns nobody.
+        if self.isolated:
             return
         now = self._clock.now()
         for node, since in list(self._suspected.items()):
@@ -210,12 +239,18 @@
             if member.state is MemberState.ALIVE:
                 centres.setdefault(member.data_centre, []).append(member)
         centres.pop(self.own.data_centre, None)
-        return [self._chance.choice(found) for _, found in sorted(centres.items())]
+        chosen: list[Member] = []
+        for _, found in sorted(centres.items()):
+            count = min(PUSH_ABROAD, len(found))
+            chosen += self._chance.sample(found, count)
+        return chosen
 
     def _plan_push(self) -> None:
         if not self._push_due:
+            # One round of pushes misses a few; a second one finds nearly all.
             self._push_due = True
             self._clock.call_later(PUSH_SECONDS, self.push_news)
+            self._clock.call_later(PUSH_AGAIN_SECONDS, self.push_news)
 
     def _note_change(self, member: Member) -> None:
         self._news[member.node] = 0
@@ -231,6 +266,8 @@
 
     def _refute(self, rumour: Member) -> None:
         if rumour.incarnation < self.own.incarnation:
+            # Some have not heard of this life yet: tell it again.
+            self._news[self.own.node] = 0
             return
         if rumour.incarnation > self.own.incarnation or rumour.replaces(self.own):
             higher = Incarnation(rumour.incarnation + 1)
@@ -267,6 +304,18 @@
             if member is not None and member.state is not MemberState.DEAD:
                 return member
 
+    def _ask_the_dead(self) -> None:
+        dead = [
+            member
+            for node in self._died
+            if (member := self._table.find(node)) is not None
+            and member.state is MemberState.DEAD
+            and member.data_centre == self.own.data_centre
+        ]
+        if dead:
+            member = self._chance.choice(dead)
+            self._send(parse_address(member.peers), Sync([member]))
+
     def _make_sequence(self) -> int:
         self._sequence += 1
         return self._sequence
--- a/src/fuchsiaspool/node.py
+++ b/src/fuchsiaspool/node.py
@@ -39,19 +39,10 @@
 from .operations.ownership import ShardOwners
 from .options import NodeOptions
 from .outcomes import NotRunReason
-from .peers.bus import PeerBus, Piggyback
-from .peers.messages import (
-    Ack,
-    CommitAsk,
-    CommitTell,
-    Digest,
-    Ping,
-    PingRequest,
-    SettingsAsk,
-    SettingsTell,
-    Sync,
-)
+from .peers.bus import PeerBus
+from .peers.messages import SettingsAsk
 from .peers.transport import PeerTransport
+from .peers.wiring import wire_members, wire_operations
 from .platform.client import make_no_platform, make_platform
 from .watching import SettingsWatch
 
@@ -221,27 +212,8 @@
         )
         core.policies.listen(lambda policy: self.membership.push_news())
         core.members.listen(self._forget_dead)
-        self._connect_bus()
-
-    def _connect_bus(self) -> None:
-        bus, membership = self.bus, self.membership
-        bus.ride(
-            Piggyback(
-                membership.collect_updates,
-                membership.receive_updates,
-                lambda: self.keeper.revision,
-                self.keeper.receive_revision,
-            )
-        )
-        bus.handle(Ping, membership.receive_ping)
-        bus.handle(Ack, membership.receive_ack)
-        bus.handle(PingRequest, membership.receive_ping_request)
-        bus.handle(Sync, membership.receive_sync)
-        bus.handle(Digest, self._bridging.receive_digest)
-        bus.handle(SettingsAsk, self.keeper.receive_ask)
-        bus.handle(SettingsTell, self.keeper.receive_tell)
-        bus.handle(CommitAsk, self._owners.receive_ask)
-        bus.handle(CommitTell, self._owners.receive_tell)
+        wire_members(self.bus, self.membership, self._bridging, self.keeper)
+        wire_operations(self.bus, self._owners)
 
     def _build_listeners(self) -> None:
         options, core, clock = self.options, self.core, self._clock
--- /dev/null
+++ b/src/fuchsiaspool/peers/wiring.py
@@ -0,0 +1,45 @@
+"""Connect the controllers that peers talk to with the bus."""
+
+from ..controllers.bridging import Bridging
+from ..controllers.membership import Membership
+from ..controllers.settings import SettingsKeeper
+from ..operations.ownership import ShardOwners
+from .bus import PeerBus, Piggyback
+from .messages import (
+    Ack,
+    CommitAsk,
+    CommitTell,
+    Digest,
+    Ping,
+    PingRequest,
+    SettingsAsk,
+    SettingsTell,
+    Sync,
+)
+
+
+def wire_members(
+    bus: PeerBus, membership: Membership, bridging: Bridging, keeper: SettingsKeeper
+) -> None:
+    """Let members and settings travel on the bus."""
+    bus.ride(
+        Piggyback(
+            membership.collect_updates,
+            membership.receive_updates,
+            lambda: keeper.revision,
+            keeper.receive_revision,
+        )
+    )
+    bus.handle(Ping, membership.receive_ping)
+    bus.handle(Ack, membership.receive_ack)
+    bus.handle(PingRequest, membership.receive_ping_request)
+    bus.handle(Sync, membership.receive_sync)
+    bus.handle(Digest, bridging.receive_digest)
+    bus.handle(SettingsAsk, keeper.receive_ask)
+    bus.handle(SettingsTell, keeper.receive_tell)
+
+
+def wire_operations(bus: PeerBus, owners: ShardOwners) -> None:
+    """Let changes of shards travel on the bus."""
+    bus.handle(CommitAsk, owners.receive_ask)
+    bus.handle(CommitTell, owners.receive_tell)
--- a/tests/support.py
+++ b/tests/support.py
@@ -1,5 +1,13 @@
 """Small fakes and builders that tests share."""
 
+import itertools
+import struct
+from socket import SO_LINGER, SOL_SOCKET
+
+import gevent
+from gevent.server import StreamServer
+
+from fuchsiaspool.addresses import Address
 from fuchsiaspool.allowance import Allowance
 from fuchsiaspool.bodies import Body
 from fuchsiaspool.calls import Call
@@ -16,6 +24,9 @@
     ServiceName,
     SubtreePath,
 )
+from fuchsiaspool.node import Node, NodeState
+from fuchsiaspool.options import NodeOptions
+from fuchsiaspool.settings.objects import Bundle
 from fuchsiaspool.settings.tree import build_policy
 
 QUOTA = ServiceName("quota")
@@ -96,3 +107,62 @@
         Incarnation(fields.get("incarnation", 1)),
         fields.get("state", MemberState.ALIVE),
     )
+
+
+class ScriptedServer:
+    """Answer each connection's request with set bytes, then close or reset."""
+
+    def __init__(self, script, reset=False, hold=0.0):
+        self.requests = []
+        self._script = script
+        self._reset = reset
+        self._hold = hold
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+        self.address = Address(*self._server.address)
+
+    def _serve(self, socket, peer):
+        data = socket.recv(65536)
+        self.requests.append(data)
+        gevent.sleep(self._hold)
+        if self._script:
+            socket.sendall(self._script)
+        if self._reset:
+            socket.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
+        socket.close()
+
+    def stop(self):
+        self._server.stop(timeout=0)
+
+
+_ports = itertools.count(24_000)
+
+
+def take_address():
+    return Address("127.0.0.1", next(_ports))
+
+
+def make_options(server, node="a", service=QUOTA, centre="north-1", **fields):
+    return NodeOptions(
+        make_place(node, service, centre, fields.pop("region", "north")),
+        callers=take_address(),
+        mesh=take_address(),
+        egress=take_address(),
+        control=take_address(),
+        peers=take_address(),
+        server=server,
+        platform=fields.pop("platform", None),
+        contacts=fields.pop("contacts", ()),
+        **fields,
+    )
+
+
+def start_node(test, options, texts=TEXTS):
+    """Start a node with settings in force, and stop it after the test."""
+    node = Node(options)
+    test.addCleanup(node.cut)
+    paths = {path: Revision(1) for path in texts}
+    node.keeper.adopt(Bundle(Revision(1), dict(texts), paths))
+    node.state = NodeState.READY
+    node.start()
+    return node
--- /dev/null
+++ b/tests/test_failure_points.py
@@ -0,0 +1,149 @@
+import unittest
+
+import gevent
+
+from fuchsiaspool.bodies import Body, BodyError
+from fuchsiaspool.clock import SystemClock
+from fuchsiaspool.controllers.contexts import Contexts
+from fuchsiaspool.dispatch import make_dispatch
+from fuchsiaspool.filters.routing import may_retry
+from fuchsiaspool.http.client import Pool, make_send
+from fuchsiaspool.outcomes import (
+    Answered,
+    NotRun,
+    NotRunReason,
+    Unknown,
+    UnknownReason,
+)
+
+from .support import ScriptedServer, make_call, take_address
+
+OK = b"HTTP/1.1 200 OK\r\n"
+# What the server does after it has taken the request, and the tag that is due.
+CASES = {
+    "reset before the first byte": (b"", True, UnknownReason.RESET),
+    "closed before the first byte": (b"", False, UnknownReason.RESET),
+    "reset inside the head": (b"HTTP/1.1 200 O", True, None),
+    "closed inside the head": (b"HTTP/1.1 200 O", False, UnknownReason.TRUNCATED),
+    "body shorter than its length": (
+        OK + b"content-length: 10\r\n\r\n12345",
+        False,
+        UnknownReason.TRUNCATED,
+    ),
+    "chunked body without its last chunk": (
+        OK + b"transfer-encoding: chunked\r\n\r\n5\r\n12345\r\n",
+        False,
+        UnknownReason.TRUNCATED,
+    ),
+    "answer without a length": (OK + b"\r\nhello", False, UnknownReason.UNFRAMED),
+    "answer that is no HTTP": (b"hello\r\n\r\n", False, UnknownReason.BAD_ANSWER),
+    "length and chunks at once": (
+        OK + b"content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+        False,
+        UnknownReason.BAD_ANSWER,
+    ),
+}
+
+
+class FailurePointTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = SystemClock()
+        self.pool = Pool()
+        self.addCleanup(self.pool.close)
+
+    def dispatch(self, address, **fields):
+        send = make_send(self.pool, self.clock)
+        step = make_dispatch(self.clock, address, send, Contexts("t"))
+        call = make_call(self.clock, **fields)
+        return step(call), call
+
+    def start(self, *args, **fields):
+        server = ScriptedServer(*args, **fields)
+        self.addCleanup(server.stop)
+        return server
+
+    def test_after_the_request_was_handed_over_nothing_is_called_not_run(self):
+        for name, (script, reset, reason) in CASES.items():
+            with self.subTest(name):
+                server = self.start(script, reset)
+                outcome, _ = self.dispatch(server.address)
+                self.assertIsInstance(outcome, Unknown)
+                self.assertEqual(len(server.requests), 1)
+                if reason is not None:
+                    self.assertEqual(outcome.reason, reason)
+
+    def test_refused_connection_is_not_run(self):
+        outcome, _ = self.dispatch(take_address())
+        self.assertIsInstance(outcome, NotRun)
+        self.assertEqual(outcome.reason, NotRunReason.CONNECT_FAILED)
+
+    def test_timeout_after_hand_over_is_unknown(self):
+        server = self.start(b"", hold=1.0)
+        outcome, _ = self.dispatch(server.address, seconds=0.05)
+        self.assertEqual(outcome.reason, UnknownReason.TIMEOUT)
+
+    def test_past_deadline_is_not_run_and_not_sent(self):
+        server = self.start(b"")
+        outcome, _ = self.dispatch(server.address, seconds=-1.0)
+        self.assertEqual(outcome.reason, NotRunReason.DEADLINE)
+        self.assertEqual(server.requests, [])
+
+    def test_the_servers_typed_refusal_is_not_run(self):
+        script = b"HTTP/1.1 503 Busy\r\nfuchsiaspool-not-run: full\r\n"
+        server = self.start(script + b"content-length: 0\r\n\r\n")
+        outcome, _ = self.dispatch(server.address)
+        self.assertEqual(outcome.reason, NotRunReason.SERVER_REFUSED)
+
+    def test_a_plain_server_error_is_an_answer_for_it_may_have_run(self):
+        script = b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n"
+        outcome, _ = self.dispatch(self.start(script).address)
+        self.assertIsInstance(outcome, Answered)
+
+    def test_caller_gone_before_sending_is_not_run(self):
+        server = self.start(b"")
+        call = make_call(self.clock)
+        call.cancellation.cancel()
+        send = make_send(self.pool, self.clock)
+        step = make_dispatch(self.clock, server.address, send, Contexts("t"))
+        self.assertEqual(step(call).reason, NotRunReason.CANCELLED)
+
+    def test_caller_gone_after_sending_is_unknown_and_cuts_the_server_off(self):
+        server = self.start(b"", hold=1.0)
+        call = make_call(self.clock)
+        send = make_send(self.pool, self.clock)
+        step = make_dispatch(self.clock, server.address, send, Contexts("t"))
+        gevent.spawn_later(0.05, call.cancellation.cancel)
+        outcome = step(call)
+        self.assertEqual(outcome.reason, UnknownReason.CANCELLED)
+
+    def test_a_connection_that_died_while_idle_is_not_used(self):
+        script = OK + b"content-length: 2\r\n\r\nhi"
+        server = self.start(script)
+        for _ in range(3):
+            outcome, _ = self.dispatch(server.address)
+            self.assertEqual(outcome.body.head, b"hi")
+            gevent.sleep(0.02)
+        self.assertEqual(len(server.requests), 3)
+
+    def test_large_truncated_answer_raises_before_its_end(self):
+        script = OK + b"content-length: 200000\r\n\r\n" + b"x" * 100_000
+        outcome, _ = self.dispatch(self.start(script).address)
+        self.assertFalse(outcome.body.whole)
+        with self.assertRaises(BodyError):
+            list(outcome.body)
+
+    def test_only_safe_outcomes_are_retried(self):
+        now = self.clock.now()
+        idempotent = make_call(self.clock, idempotent=True)
+        other = make_call(self.clock)
+        streamed = make_call(self.clock, body=Body(b"a", None, iter([b"b"])))
+        streamed.body.started = True
+        refused = NotRun(NotRunReason.CONNECT_FAILED)
+        lost = Unknown(UnknownReason.RESET)
+        shed = NotRun(NotRunReason.SHED)
+        self.assertTrue(may_retry(other, refused, now))
+        self.assertFalse(may_retry(other, shed, now))
+        self.assertTrue(may_retry(idempotent, lost, now))
+        self.assertFalse(may_retry(other, lost, now))
+        self.assertFalse(may_retry(streamed, refused, now))
+        self.assertFalse(may_retry(idempotent, lost, now + 60))
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,293 @@
+import random
+import unittest
+
+from fuchsiaspool.clock import PausedClock
+from fuchsiaspool.controllers.members import MemberState, MemberTable
+from fuchsiaspool.controllers.registry import (
+    LEASE_SECONDS,
+    PREFIX,
+    TRUST_SECONDS,
+    Registry,
+)
+from fuchsiaspool.ids import Incarnation, Revision
+from fuchsiaspool.peers.messages import SettingsTell
+from fuchsiaspool.settings.objects import Bundle
+
+from .fakes import FakeNetwork, FakePlatform, Fault
+from .support import TEXTS, make_member
+
+CRASH_OUT_SECONDS = 10
+IN_FORCE_SECONDS = 7
+CENTRES = (
+    ("north-1", "north"),
+    ("north-2", "north"),
+    ("south-1", "south"),
+    ("south-2", "south"),
+)
+ALIVE, DEAD = MemberState.ALIVE, MemberState.DEAD
+LEAVING, SUSPECT = MemberState.LEAVING, MemberState.SUSPECT
+
+
+class MembershipCase(unittest.TestCase):
+    def setUp(self):
+        random.seed(1)
+        self.clock = PausedClock()
+        self.network = FakeNetwork(self.clock)
+
+    def grow(self, count, centres=CENTRES[:1]):
+        peers = []
+        for centre, region in centres:
+            for number in range(count):
+                contacts = peers[:1] + peers[-1:]
+                name = f"{centre}-{number}"
+                peers.append(self.network.add(name, centre, region, contacts))
+        self.network.run(15)
+        return peers
+
+    def adopt(self, peer, revision):
+        paths = {path: Revision(revision) for path in TEXTS}
+        peer.keeper.adopt(Bundle(Revision(revision), dict(TEXTS), paths))
+
+    def names(self, peers):
+        return {peer.membership.own.node for peer in peers}
+
+
+class MembershipTests(MembershipCase):
+    def test_everyone_learns_of_everyone(self):
+        peers = self.grow(8, CENTRES)
+        for peer in peers:
+            self.assertEqual(peer.knows(ALIVE), self.names(peers))
+
+    def test_a_new_server_gets_work_within_seconds(self):
+        peers = self.grow(30)
+        peers.append(self.network.add("new", contacts=peers[:1]))
+        self.network.run(3)
+        for peer in peers:
+            self.assertIn("new", peer.knows(ALIVE))
+
+    def test_a_leaving_server_gets_no_work_within_two_seconds(self):
+        peers = self.grow(20, CENTRES)
+        peers[0].membership.leave()
+        self.network.run(2)
+        for peer in peers:
+            services = peer.table.list_service(peers[0].membership.own.service)
+            self.assertNotIn(peers[0].membership.own.node, {m.node for m in services})
+
+    def test_a_crashed_server_is_out_within_the_bound(self):
+        peers = self.grow(30)
+        self.network.remove(peers[3])
+        self.network.run(CRASH_OUT_SECONDS)
+        for peer in peers[:3] + peers[4:]:
+            self.assertNotIn(peers[3].membership.own.node, peer.knows(ALIVE))
+            self.assertEqual(len(peer.knows(ALIVE)), 29)
+
+    def test_a_rack_that_fails_is_out_and_the_rest_stays(self):
+        peers = self.grow(40)
+        for peer in peers[:8]:
+            self.network.remove(peer)
+        self.network.run(30)
+        for peer in peers[8:]:
+            self.assertEqual(peer.knows(ALIVE), self.names(peers[8:]))
+
+    def test_a_node_that_is_cut_off_condemns_nobody(self):
+        peers = self.grow(20)
+        alone = peers[0]
+        self.network.is_cut = lambda a, b: alone in (a, b)
+        self.network.run(60)
+        services = alone.table.list_service(alone.membership.own.service)
+        self.assertGreater(len(services), 0.5 * len(peers))
+        self.network.is_cut = lambda a, b: False
+        self.network.run(20)
+        for peer in peers:
+            self.assertEqual(peer.knows(ALIVE), self.names(peers))
+
+    def test_halves_of_a_split_data_centre_find_together_again(self):
+        peers = self.grow(20)
+        half = set(peers[::2])
+        self.network.is_cut = lambda a, b: (a in half) != (b in half)
+        self.network.run(120)
+        self.network.is_cut = lambda a, b: False
+        self.network.run(60)
+        for peer in peers:
+            self.assertEqual(peer.knows(ALIVE), self.names(peers))
+
+    def test_a_paused_node_takes_no_work_until_a_peer_answers(self):
+        peers = self.grow(20)
+        paused = peers[4]
+        before = paused.membership.own.incarnation
+        paused.frozen = True
+        self.network.run(30)
+        self.assertNotIn(paused.membership.own.node, peers[0].knows(ALIVE))
+        self.network.is_cut = lambda a, b: paused in (a, b)
+        paused.frozen = False
+        self.network.run(2)
+        self.assertTrue(paused.membership.paused)
+        self.network.is_cut = lambda a, b: False
+        self.network.run(10)
+        self.assertFalse(paused.membership.paused)
+        self.assertGreater(paused.membership.own.incarnation, before)
+        for peer in peers:
+            self.assertEqual(peer.knows(ALIVE), self.names(peers))
+
+    def test_an_hour_without_the_other_region_ends_with_the_right_members(self):
+        peers = self.grow(6, CENTRES)
+        region = {p: p.membership.own.region for p in peers}
+        self.network.is_cut = lambda a, b: region[a] != region[b]
+        self.network.run(600)
+        crashed, peers = peers[0], peers[1:]
+        self.network.remove(crashed)
+        added = self.network.add("late", *CENTRES[3], contacts=peers[-1:])
+        region[added] = "south"
+        self.network.run(3000)
+        south = [p for p in peers if region[p] == "south"]
+        self.assertTrue(all(len(p.knows(ALIVE)) >= 23 for p in south))
+        self.network.is_cut = lambda a, b: False
+        self.network.run(30)
+        for peer in [*peers, added]:
+            self.assertEqual(peer.knows(ALIVE), self.names([*peers, added]))
+
+    def test_a_day_of_replacements_ends_with_the_right_members(self):
+        peers = self.grow(12, CENTRES)
+        chance = random.Random(5)
+        for number in range(95):
+            gone = peers.pop(chance.randrange(len(peers)))
+            own = gone.membership.own
+            if chance.random() < 0.5:
+                gone.membership.leave()
+                self.network.run(1)
+            self.network.remove(gone)
+            contacts = [peers[0], peers[-1]]
+            peers.append(
+                self.network.add(f"r{number}", own.data_centre, own.region, contacts)
+            )
+            self.network.run(10)
+        self.network.run(30)
+        for peer in peers:
+            self.assertEqual(peer.knows(ALIVE), self.names(peers))
+
+    def test_one_name_in_two_lives_keeps_the_later(self):
+        table = MemberTable()
+        table.merge(make_member("a", incarnation=5, mesh="127.0.0.1:5"))
+        self.assertFalse(table.merge(make_member("a", incarnation=4)))
+        dead = make_member("a", incarnation=5, state=DEAD)
+        self.assertTrue(table.merge(dead))
+        self.assertTrue(table.merge(make_member("a", incarnation=6)))
+        self.assertEqual(table.find("a").state, ALIVE)
+
+
+class SettingsSpreadTests(MembershipCase):
+    def test_settings_are_in_force_everywhere_within_the_bound(self):
+        peers = self.grow(40, CENTRES)
+        self.adopt(peers[7], 1)
+        self.network.run(IN_FORCE_SECONDS)
+        self.assertEqual({p.keeper.revision for p in peers}, {1})
+
+    def test_a_data_centre_restarted_during_an_outage_takes_the_newest(self):
+        peers = self.grow(6, CENTRES)
+        self.adopt(peers[0], 1)
+        self.network.run(10)
+        self.adopt(peers[0], 2)
+        self.network.run(10)
+        old, rest = peers[:6], peers[6:]
+        for peer in old:
+            self.network.remove(peer)
+        fresh = [
+            self.network.add(f"fresh-{n}", *CENTRES[0], contacts=rest[:2])
+            for n in range(6)
+        ]
+        self.network.run(5)
+        self.assertEqual({p.keeper.revision for p in fresh}, {2})
+
+    def test_a_peer_with_old_settings_reverts_nobody(self):
+        peers = self.grow(10)
+        self.adopt(peers[0], 3)
+        self.network.run(10)
+        stale = self.network.add("stale", contacts=peers[:1])
+        self.adopt(stale, 2)
+        self.network.run(10)
+        self.assertEqual({p.keeper.revision for p in [*peers, stale]}, {3})
+
+    def test_only_the_changed_texts_are_sent(self):
+        peers = self.grow(2)
+        self.adopt(peers[0], 1)
+        self.network.run(5)
+        paths = {path: Revision(1) for path in TEXTS}
+        changed = "agency/quota"
+        paths[changed] = Revision(2)
+        texts = {**TEXTS, changed: TEXTS[changed] + "\n# a remark\n"}
+        told = []
+        keeper = peers[1].keeper
+        receive = keeper.receive_tell
+        peers[1].bus.handle(
+            SettingsTell,
+            lambda body, envelope: (told.append(body), receive(body, envelope)),
+        )
+        peers[0].keeper.adopt(Bundle(Revision(2), texts, paths))
+        self.network.run(5)
+        self.assertEqual(keeper.revision, 2)
+        self.assertEqual({path for tell in told for path in tell.texts}, {changed})
+
+
+class RegistryTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = PausedClock()
+        self.fake = FakePlatform(self.clock)
+
+    def make(self, name, centre="north-1", faults=None, incarnation=1):
+        own = make_member(name, centre=centre, incarnation=incarnation)
+        table = MemberTable()
+        faults = faults if faults is not None else []
+        platform = self.fake.connect(lambda: faults.pop(0) if faults else Fault.NONE)
+        return Registry(self.clock, platform, table, lambda: own), table
+
+    def announce(self, registry):
+        return self.clock.run(registry.announce)
+
+    def test_announcements_are_found_by_others(self):
+        first, _ = self.make("a")
+        second, table = self.make("b")
+        self.assertTrue(self.announce(first))
+        self.assertTrue(self.announce(first))
+        self.clock.run(second.read_members)
+        self.assertEqual(table.find("a").state, ALIVE)
+
+    def test_a_lost_answer_or_an_earlier_life_does_not_lock_the_name(self):
+        first, _ = self.make("a", faults=[Fault.LOST_ANSWER])
+        self.announce(first)
+        self.assertTrue(self.announce(first))
+        replaced, _ = self.make("a", incarnation=2)
+        self.assertTrue(self.announce(replaced))
+
+    def test_withdrawn_announcements_are_gone(self):
+        first, _ = self.make("a")
+        self.announce(first)
+        self.clock.run(first.withdraw)
+        self.assertEqual(self.fake.store.list_prefix(PREFIX).items, [])
+
+    def test_a_lapsed_lease_buries_only_after_the_platform_was_there_long(self):
+        far, _ = self.make("far", "south-1")
+        self.announce(far)
+        near, table = self.make("near")
+        self.clock.run(near.read_members)
+        # An outage: nobody can renew, and every lease lapses.
+        self.clock.advance(LEASE_SECONDS * 3)
+        down, down_table = near, table
+        near._platform = self.fake.connect(lambda: Fault.DOWN)
+        self.clock.run(down.read_members)
+        near._platform = self.fake.connect()
+        self.clock.run(near.read_members)
+        self.assertEqual(down_table.find("far").state, ALIVE)
+        self.clock.advance(TRUST_SECONDS)
+        self.clock.run(near.read_members)
+        self.assertEqual(table.find("far").state, DEAD)
+
+    def test_a_platform_that_is_down_is_said_to_be(self):
+        first, _ = self.make("a", faults=[Fault.DOWN] * 9)
+        self.assertFalse(self.announce(first))
+        self.assertFalse(first.reachable)
+
+    def test_incarnations_order_lives(self):
+        older = make_member("a", incarnation=Incarnation(1))
+        newer = make_member("a", incarnation=Incarnation(2), state=SUSPECT)
+        self.assertTrue(newer.replaces(older))
+        self.assertTrue(make_member("a", state=LEAVING).replaces(older))
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,304 @@
+import random
+import unittest
+
+from hypothesis import given, settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from fuchsiaspool.clock import PausedClock
+from fuchsiaspool.controllers.settings import SettingsKeeper
+from fuchsiaspool.ids import Nonce, Revision, SubtreePath, TeamName
+from fuchsiaspool.platform.objects import ReadFault
+from fuchsiaspool.results import Err, Ok
+from fuchsiaspool.settings.objects import HISTORY_KEPT, Bundle
+from fuchsiaspool.settings.store import (
+    Clash,
+    NotOwner,
+    NotSettled,
+    PlatformDown,
+    Proposal,
+    apply_proposal,
+    load_tree,
+)
+from fuchsiaspool.settings.tree import SettingsFault, build_policy
+from fuchsiaspool.watching import SettingsWatch
+
+from .fakes import FakePlatform, Fault
+from .support import TEXTS
+
+ROOT = SubtreePath("")
+SERVICE = "[service {name}]\nslots = {slots}\n"
+PATHS = [SubtreePath(f"team/{name}") for name in ("a", "b")]
+
+
+def make_text(name, slots):
+    return SERVICE.format(name=name, slots=slots)
+
+
+# Each text has one fault; the message has to name where it is.
+FAULTS = {
+    "[service quota]\nslots = many\n": ("service quota", "slots"),
+    "[service quota]\nslots = 0\n": ("service quota", "slots"),
+    "[service quota]\nslotz = 1\n": ("service quota", "slotz"),
+    "[limits]\nretry-allowance = 9\n": ("limits", "retry-allowance"),
+    "[limits]\nretry-allowance = 3\n": ("limits", "retry-allowance = 3 loosens"),
+    "[limits]\ndeadline-ms = 6000\n": ("limits", "deadline-ms = 6000 loosens"),
+    "[colours]\nred = 1\n": ("colours", "unknown section"),
+    "[service quota]\n[service lots]\n": ("service lots", "one service"),
+    "[service quota]\ndefault-class = gold\n": ("service quota", "gold"),
+    "[service q]\n[operation x]\nmatch = here\n": ("operation x", "METHOD /path"),
+    "[service q]\n[operation x]\nmatch = GET /x\nprotected = on\nidempotent = on\n": (
+        "operation x",
+        "not both",
+    ),
+    "[class critical]\npriority = 3\n": ("class critical", "priority"),
+    "slots = 4\n": ("", "no section headers"),
+    "[service quota]\nslots = 1\nslots = 2\n": ("", "already exists"),
+}
+
+
+class TreeTests(unittest.TestCase):
+    def test_faults_name_their_place(self):
+        for text, (section, detail) in FAULTS.items():
+            with self.subTest(text):
+                texts = {ROOT: TEXTS[ROOT], SubtreePath("agency/quota"): text}
+                built = build_policy(Revision(1), texts)
+                self.assertIsInstance(built, Err)
+                self.assertEqual(built.error.section, section)
+                self.assertIn(detail, str(built.error))
+
+    def test_a_child_may_tighten_what_its_parents_set(self):
+        texts = {
+            ROOT: TEXTS[ROOT],
+            SubtreePath("agency"): "[limits]\nretry-allowance = 1\n",
+            SubtreePath("agency/quota"): TEXTS[SubtreePath("agency/quota")],
+        }
+        policy = build_policy(Revision(1), texts).value
+        self.assertEqual(policy.services["quota"].limits.retry_allowance, 1)
+
+    @given(st.lists(st.integers(0, 5), min_size=1, max_size=5))
+    def test_no_path_of_bounds_ever_loosens(self, bounds):
+        texts = {}
+        for depth, bound in enumerate(bounds):
+            path = SubtreePath("/".join(["t"] * depth))
+            texts[path] = f"[limits]\nretry-allowance = {bound}\n"
+        built = build_policy(Revision(1), texts)
+        tightens = all(a >= b for a, b in zip(bounds, bounds[1:], strict=False))
+        self.assertEqual(isinstance(built, Ok), tightens)
+
+    @given(st.text(max_size=200))
+    def test_any_text_is_read_or_refused_with_a_fault(self, text):
+        built = build_policy(Revision(1), {ROOT: text})
+        if isinstance(built, Err):
+            self.assertIsInstance(built.error, SettingsFault)
+
+
+class StoreTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = PausedClock()
+        self.fake = FakePlatform(self.clock)
+        self.numbers = 0
+
+    def nonce(self):
+        self.numbers += 1
+        return Nonce(f"n{self.numbers}")
+
+    def load(self):
+        return self.clock.run(load_tree, self.fake.connect()).value
+
+    def apply(self, texts, team="", base=None, faults=(), token=""):
+        queue = list(faults)
+        platform = self.fake.connect(lambda: queue.pop(0) if queue else Fault.NONE)
+        base = self.load().bundle.texts if base is None else base
+        proposal = Proposal(base, texts, TeamName(team), token)
+        return self.clock.run(
+            apply_proposal, self.clock, platform, proposal, self.nonce
+        )
+
+    def test_disjoint_changes_both_land_and_clashing_ones_do_not(self):
+        base = {}
+        first = self.apply({PATHS[0]: make_text("a", 1)}, base=base)
+        second = self.apply({PATHS[1]: make_text("b", 1)}, base=base)
+        clash = self.apply({PATHS[0]: make_text("a", 2)}, base=base)
+        self.assertEqual((first, second), (Ok(1), Ok(2)))
+        self.assertIsInstance(clash.error, Clash)
+        self.assertIn("-slots = 1", clash.error.difference)
+        self.assertIn("+slots = 2", clash.error.difference)
+
+    def test_a_team_changes_its_own_subtree_only(self):
+        self.apply(TEXTS, "platform")
+        path = SubtreePath("agency/quota")
+        mine = TEXTS[path].replace("slots = 4", "slots = 5")
+        refused = self.apply({path: mine}, "other")
+        self.assertEqual(refused, Err(NotOwner(path, TeamName("quota"))))
+        self.assertEqual(self.apply({path: mine}, "quota"), Ok(2))
+
+    def test_a_token_is_asked_for_where_the_owner_set_one(self):
+        digest = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"
+        text = f"[owner]\nteam = a\ntoken-sha256 = {digest}\n"
+        self.apply({ROOT: text}, "a", token="")
+        more = {ROOT: text + "[class x]\npriority = 1\n"}
+        self.assertIsInstance(self.apply(more, "a", token="guess").error, NotOwner)
+        self.assertIsInstance(self.apply(more, "a", token="secret"), Ok)
+
+    def test_a_lost_answer_to_the_acceptance_is_settled(self):
+        # Reads of the root, then the text and the root are written.
+        faults = [Fault.NONE, Fault.NONE, Fault.LOST_ANSWER]
+        self.assertEqual(
+            self.apply({PATHS[0]: make_text("a", 1)}, faults=faults), Ok(1)
+        )
+        self.assertEqual(self.load().root.revision, 1)
+
+    def test_platform_down_accepts_nothing(self):
+        down = self.apply({PATHS[0]: make_text("a", 1)}, faults=[Fault.DOWN] * 20)
+        self.assertEqual(down, Err(PlatformDown()))
+
+    def test_an_invalid_tree_is_not_accepted(self):
+        refused = self.apply({PATHS[0]: "[service a]\nslots = x\n"})
+        self.assertIsInstance(refused.error, SettingsFault)
+        self.assertEqual(self.load().root.revision, 0)
+
+    def test_old_texts_are_pruned_and_current_ones_kept(self):
+        for number in range(HISTORY_KEPT + 20):
+            self.apply({PATHS[number % 2]: make_text("ab"[number % 2], number + 1)})
+        texts = [key for key in self.fake.store.objects if "texts" in key]
+        self.assertLessEqual(len(texts), HISTORY_KEPT + 4)
+        self.assertEqual(len(self.load().bundle.texts), 2)
+
+
+class KeeperTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = PausedClock()
+        self.policies = []
+        self.keeper = SettingsKeeper(self.clock, self.put, lambda to, body: None)
+
+    def put(self, policy):
+        self.policies.append(policy.revision)
+        return True
+
+    def adopt(self, revision, text=None):
+        texts = {PATHS[0]: text or make_text("a", 1)}
+        changed = {PATHS[0]: Revision(revision)}
+        return self.keeper.adopt(Bundle(Revision(revision), texts, changed))
+
+    @given(st.lists(st.integers(1, 20), max_size=30))
+    def test_revisions_never_go_back(self, revisions):
+        self.setUp()
+        for revision in revisions:
+            self.adopt(revision)
+        self.assertEqual(self.policies, sorted(set(self.policies)))
+        self.assertEqual(self.keeper.revision, max(revisions, default=0))
+
+    def test_a_tree_that_cannot_be_read_leaves_the_last_one_in_force(self):
+        self.adopt(1)
+        self.assertFalse(self.adopt(2, "[service a]\nslots = 0\n"))
+        self.assertEqual(self.keeper.revision, 1)
+        self.assertIn("revision 2", self.keeper.fault)
+        self.assertTrue(self.adopt(3))
+        self.assertEqual(self.keeper.fault, "")
+
+    def test_a_stale_list_or_watch_reverts_nothing(self):
+        fake = FakePlatform(self.clock)
+        platform = fake.connect()
+        numbers = iter(range(100))
+
+        def apply(slots):
+            base = self.clock.run(load_tree, platform).value.bundle.texts
+            proposal = Proposal(base, {PATHS[0]: make_text("a", slots)}, TeamName(""))
+            self.clock.run(
+                apply_proposal,
+                self.clock,
+                platform,
+                proposal,
+                lambda: Nonce(f"n{next(numbers)}"),
+            )
+
+        apply(1)
+        old = dict(fake.store.objects)
+        apply(2)
+        watch = SettingsWatch(
+            self.clock, platform, self.keeper, lambda: True, random.Random(1)
+        )
+        self.clock.run(watch.load)
+        fake.store.objects = old
+        self.clock.run(watch.load)
+        self.assertEqual(self.keeper.revision, 2)
+        self.assertEqual(self.policies, [2])
+
+    def test_a_version_too_old_to_watch_from_leads_to_a_new_list(self):
+        fake = FakePlatform(self.clock)
+        platform = fake.connect()
+        gone = platform.__class__(
+            platform.get,
+            platform.put,
+            platform.delete,
+            platform.list_prefix,
+            lambda *a: Err(ReadFault.VERSION_TOO_OLD),
+        )
+        watch = SettingsWatch(
+            self.clock, gone, self.keeper, lambda: True, random.Random(1)
+        )
+        self.assertIsNone(self.clock.run(watch.watch, 5))
+
+
+class Operators(RuleBasedStateMachine):
+    """Let operators race, with answers lost, and look for lost updates."""
+
+    @initialize()
+    def start(self):
+        self.clock = PausedClock()
+        self.fake = FakePlatform(self.clock)
+        self.numbers = 0
+        self.accepted = {}
+        self.doubtful = set()
+
+    def nonce(self):
+        self.numbers += 1
+        return Nonce(f"n{self.numbers}")
+
+    @rule(
+        path=st.integers(0, 1),
+        faults=st.lists(st.sampled_from(list(Fault)), max_size=3),
+    )
+    def propose(self, path, faults):
+        name, path = "ab"[path], PATHS[path]
+        self.numbers += 1
+        text = make_text(name, self.numbers)
+        queue = [Fault.NONE, *faults]
+        platform = self.fake.connect(lambda: queue.pop(0) if queue else Fault.NONE)
+
+        def operate():
+            tree = load_tree(self.fake.connect())
+            proposal = Proposal(tree.value.bundle.texts, {path: text}, TeamName(""))
+            found = apply_proposal(self.clock, platform, proposal, self.nonce)
+            if isinstance(found, Ok):
+                assert found.value not in self.accepted, "one revision, two changes"
+                self.accepted[found.value] = (path, text)
+            elif isinstance(found.error, NotSettled):
+                self.doubtful.add(text)
+
+        self.clock.spawn(operate)
+
+    @rule(seconds=st.sampled_from([0.001, 0.01, 0.1, 60.0]))
+    def advance(self, seconds):
+        self.clock.advance(seconds)
+
+    @invariant()
+    def every_accepted_change_is_in_force_until_a_later_one(self):
+        if not hasattr(self, "clock") or not self.accepted:
+            return
+        # What is accepted while the tree is read may or may not be in it.
+        last = {}
+        for revision in sorted(self.accepted):
+            path, text = self.accepted[revision]
+            last[path] = (revision, text)
+        tree = self.clock.run(load_tree, self.fake.connect()).value
+        for path, (revision, text) in last.items():
+            ref = tree.root.subtrees[path]
+            if ref.changed == revision:
+                assert tree.bundle.texts[path] == text
+            else:
+                assert ref.changed > revision, "an accepted change was lost"
+
+
+Operators.TestCase.settings = settings(max_examples=80, stateful_step_count=30)
+OperatorTests = Operators.TestCase
