--- a/src/fuchsiaspool/calls.py
+++ b/src/fuchsiaspool/calls.py
@@ -68,6 +68,7 @@
     resend: bool = False
     classified: bool = False
     expires_wall: float | None = None
+    ran: bool = False
     cancellation: Cancellation = field(default_factory=Cancellation)
     finishers: list[Callable[[bool], None]] = field(default_factory=list)
 
--- a/src/fuchsiaspool/entrances.py
+++ b/src/fuchsiaspool/entrances.py
@@ -20,6 +20,7 @@
     encode_outcome,
     open_call,
 )
+from .nesting import inherit
 from .outcomes import Answered, NotRun, NotRunReason, Outcome
 
 REQUEST_HEADER: Final = b"x-request-id"
@@ -100,15 +101,7 @@
         if context is None:
             return _run(call, outbound, track)
         parent = context.call
-        call.request = parent.request
-        call.caller = parent.caller
-        call.rank = parent.rank
-        call.critical = parent.critical
-        call.classified = True
-        call.deadline = parent.deadline
-        call.expires_wall = parent.expires_wall
-        lent = parent.allowance.lend()
-        call.allowance = Allowance(lent)
+        lent = inherit(call, parent)
         forget = parent.cancellation.add(call.cancellation.cancel)
         reply = _run(call, outbound, track)
         forget()
--- /dev/null
+++ b/src/fuchsiaspool/nesting.py
@@ -0,0 +1,18 @@
+"""Hand on what a call inherits from the one that caused it."""
+
+from .allowance import Allowance
+from .calls import Call
+
+
+def inherit(call: Call, parent: Call) -> int:
+    """Make a call part of its parent's request; return the allowance it was lent."""
+    call.request = parent.request
+    call.caller = parent.caller
+    call.rank = parent.rank
+    call.critical = parent.critical
+    call.classified = True
+    call.deadline = min(call.deadline, parent.deadline)
+    call.expires_wall = parent.expires_wall
+    lent = parent.allowance.lend()
+    call.allowance = Allowance(lent)
+    return lent
--- /dev/null
+++ b/src/fuchsiaspool/replay/verdicts.py
@@ -0,0 +1,95 @@
+"""Hold the outcomes of a replay against those that the trace states."""
+
+from dataclasses import dataclass
+
+from ..settings.policy import Policy
+from .ideal import compute_ideal
+from .tally import Tally
+from .trace import EventLine, ExpectLine, Trace
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Tell whether one stated outcome holds."""
+
+    stated: str
+    found: str
+    holds: bool
+
+
+def judge(trace: Trace, policy: Policy, tally: Tally, seed: int) -> list[Verdict]:
+    """Return a verdict for each outcome that the trace states."""
+    verdicts: list[Verdict] = []
+    for line in trace.expected:
+        verdicts += _judge_line(trace, policy, tally, seed, line)
+    return verdicts
+
+
+def find_causes(trace: Trace) -> list[EventLine]:
+    """Return the events whose end starts the clock of recovery."""
+    return [event for event in trace.events if event.cause and event.until]
+
+
+def measure_recovery(trace: Trace, tally: Tally) -> float | None:
+    """Return the seconds from the last cause's end until goodput was back."""
+    causes = find_causes(trace)
+    if not causes:
+        return 0.0
+    first = min(event.at for event in causes)
+    last = max(event.until for event in causes)
+    before = (trace.header.warm, first)
+    return tally.measure_recovery(before, last, trace.header.seconds)
+
+
+def _judge_line(
+    trace: Trace, policy: Policy, tally: Tally, seed: int, line: ExpectLine
+) -> list[Verdict]:
+    start = line.at or trace.header.warm
+    end = line.until or trace.header.seconds
+    name = line.call_class or "all"
+    verdicts = []
+    whole, offered = tally.share(line.call_class, start, end)
+    if line.goodput is not None:
+        share = whole / max(1, offered)
+        verdicts.append(
+            Verdict(
+                f"{name}: goodput at least {line.goodput:.1%}",
+                f"{share:.2%} of {offered}",
+                share >= line.goodput,
+            )
+        )
+    if line.of_ideal is not None:
+        ideal = compute_ideal(trace, policy, seed, start, end)
+        share = whole / max(1.0, ideal)
+        verdicts.append(
+            Verdict(
+                f"{name}: at least {line.of_ideal:.1%} of the ideal {ideal:.0f}",
+                f"{share:.2%}",
+                share >= line.of_ideal,
+            )
+        )
+    if line.recovery is not None:
+        found = measure_recovery(trace, tally)
+        verdicts.append(
+            Verdict(
+                f"recovery within {line.recovery:.0f} s",
+                "never" if found is None else f"{found:.0f} s",
+                found is not None and found <= line.recovery,
+            )
+        )
+    verdicts += _judge_counts(tally, line)
+    return verdicts
+
+
+def _judge_counts(tally: Tally, line: ExpectLine) -> list[Verdict]:
+    verdicts = []
+    for stated, bound, found in (
+        ("retries of one request", line.retries, tally.most_retries),
+        ("protected operations run twice", line.doubled, tally.doubled),
+        ("false words of not run", line.false_not_run, tally.false_not_run),
+    ):
+        if bound is not None:
+            verdicts.append(
+                Verdict(f"{stated}: at most {bound}", str(found), found <= bound)
+            )
+    return verdicts
--- /dev/null
+++ b/src/fuchsiaspool/standins/memory.py
@@ -0,0 +1,60 @@
+"""Stand in for the platform in memory, on any clock."""
+
+from collections.abc import Callable
+
+from ..clock import Clock
+from ..ids import Version
+from ..platform.objects import (
+    Applied,
+    Conflict,
+    Events,
+    Listing,
+    ObjectKey,
+    Platform,
+    ReadFault,
+    StoredObject,
+    Unavailable,
+    WriteOutcome,
+)
+from ..results import Err, Ok, Result
+from .platform import ObjectStore
+
+
+def make_memory_platform(
+    clock: Clock, store: ObjectStore, delay: float, is_down: Callable[[], bool]
+) -> Platform:
+    """Return an object API that answers after `delay` seconds unless it is down."""
+
+    def get(key: ObjectKey) -> Result[StoredObject, ReadFault]:
+        clock.sleep(delay)
+        if is_down():
+            return Err(ReadFault.UNAVAILABLE)
+        stored = store.objects.get(key)
+        return Ok(stored) if stored else Err(ReadFault.NOT_FOUND)
+
+    def put(key: ObjectKey, value: bytes, version: Version | None) -> WriteOutcome:
+        clock.sleep(delay)
+        if is_down():
+            return Unavailable("down")
+        stored = store.put(key, value, version)
+        return Applied(stored.version) if stored else Conflict()
+
+    def delete(key: ObjectKey, version: Version) -> WriteOutcome:
+        clock.sleep(delay)
+        if is_down():
+            return Unavailable("down")
+        gone = store.delete(key, version)
+        return Applied(gone) if gone else Conflict()
+
+    def list_prefix(prefix: str) -> Result[Listing, ReadFault]:
+        clock.sleep(delay)
+        return (
+            Err(ReadFault.UNAVAILABLE) if is_down() else Ok(store.list_prefix(prefix))
+        )
+
+    def watch(
+        prefix: str, version: Version, seconds: float
+    ) -> Result[Events, ReadFault]:
+        return Err(ReadFault.UNAVAILABLE)
+
+    return Platform(get, put, delete, list_prefix, watch)
