Judge a server's room by its own refusals only

Cause: when quota slowed tenfold, registry answered 503 after its child had timed out; that was taken for a full server, and its limit fell from 150 to 1, so that unrelated lookups waited until their deadline. Ruled out: slots held by slow calls (8 of 150 were in use). Change: a 503 after calls of the server's own no longer shrinks its limit. A server that failed for long made the span of its ejection overflow: bounded.

--- a/src/fuchsiaspool/calls.py
+++ b/src/fuchsiaspool/calls.py
@@ -69,6 +69,7 @@
     classified: bool = False
     expires_wall: float | None = None
     ran: bool = False
+    children: int = 0
     cancellation: Cancellation = field(default_factory=Cancellation)
     finishers: list[Callable[[bool], None]] = field(default_factory=list)
 
--- a/src/fuchsiaspool/controllers/balancer.py
+++ b/src/fuchsiaspool/controllers/balancer.py
@@ -31,7 +31,7 @@
 FAILURE_LATENCY_SECONDS: Final = 1.0
 FAILURES_TO_EJECT: Final = 5
 EJECT_SECONDS: Final = 3.0
-EJECT_LONGEST_SECONDS: Final = 30.0
+EJECT_DOUBLINGS: Final = 3
 EJECT_SHARE: Final = 0.34
 RAMP_ANSWERS: Final = 50
 RAMP_LEAST: Final = 0.1
@@ -138,9 +138,9 @@
         certain = isinstance(outcome, NotRun)
         if track.failures >= FAILURES_TO_EJECT or certain:
             track.ejections += 1
-            span = EJECT_SECONDS * 2 ** (track.ejections - 1)
-            now = self._clock.now()
-            track.ejected_until = now + min(span, EJECT_LONGEST_SECONDS)
+            doublings = min(track.ejections - 1, EJECT_DOUBLINGS)
+            span = EJECT_SECONDS * float(1 << doublings)
+            track.ejected_until = self._clock.now() + span
             track.failures = 0
             track.answered = 0
 
--- a/src/fuchsiaspool/filters/admission.py
+++ b/src/fuchsiaspool/filters/admission.py
@@ -6,7 +6,7 @@
 from ..calls import Call, Filter, Next
 from ..clock import Clock
 from ..controllers.admission import Admission
-from ..outcomes import NO_THRESHOLD, Answered, NotRun, NotRunReason, Outcome
+from ..outcomes import Answered, NotRun, NotRunReason, Outcome
 
 SERVER_BUSY: Final = (429, 503)
 
@@ -49,16 +49,17 @@
 ) -> Callable[[bool], None]:
     def leave(whole: bool) -> None:
         ran = not isinstance(outcome, NotRun)
-        admission.leave(call, clock.now() - started, _is_busy(outcome), ran)
+        admission.leave(call, clock.now() - started, _is_busy(call, outcome), ran)
 
     return leave
 
 
-def _is_busy(outcome: Outcome | None) -> bool:
+def _is_busy(call: Call, outcome: Outcome | None) -> bool:
     match outcome:
         case NotRun():
             return outcome.reason is NotRunReason.SERVER_REFUSED
         case Answered():
-            return outcome.status in SERVER_BUSY and outcome.threshold >= NO_THRESHOLD
+            # After calls of its own, the trouble is a child's as likely as not.
+            return outcome.status in SERVER_BUSY and call.children == 0
         case _:
             return False
--- a/src/fuchsiaspool/nesting.py
+++ b/src/fuchsiaspool/nesting.py
@@ -6,6 +6,7 @@
 
 def inherit(call: Call, parent: Call) -> int:
     """Make a call part of its parent's request; return the allowance it was lent."""
+    parent.children += 1
     call.request = parent.request
     call.caller = parent.caller
     call.rank = parent.rank
