Set a lone near server aside when it is gone

Cause: with one server of a service in a data centre, the share of servers that may be ejected rounded to none; every call tried the dead one first and paid for its retry, until the ratio of retries was used up. Change: the share is taken of all servers of the service; a retry after an attempt that no server worked on is free of the ratio, not of the allowance.

--- a/src/fuchsiaspool/controllers/balancer.py
+++ b/src/fuchsiaspool/controllers/balancer.py
@@ -36,6 +36,7 @@
 RAMP_ANSWERS: Final = 50
 RAMP_LEAST: Final = 0.1
 SERVER_ERROR: Final = 500
+_NOBODY: Final[set[NodeId]] = set()
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,8 +100,12 @@
         """Return the server for the next attempt, or why there is none."""
         reason = NotRunReason.NO_SERVER
         shedding: Member | None = None
-        for distance, tier in enumerate(self._find_tiers(call.service)):
-            usable = [m for m in self._drop_outliers(tier) if m.node not in excluded]
+        tiers = self._find_tiers(call.service)
+        outliers = self._find_outliers(tiers)
+        for distance, tier in enumerate(tiers):
+            usable = [
+                m for m in tier if m.node not in excluded and m.node not in outliers
+            ]
             if not usable:
                 continue
             if distance == 2 and not self._may_cross(call):
@@ -183,15 +188,22 @@
         self._subsets[service] = (members, subset)
         return subset
 
-    def _drop_outliers(self, tier: list[Member]) -> list[Member]:
+    def _find_outliers(self, tiers: list[list[Member]]) -> set[NodeId]:
         now = self._clock.now()
-        ejected = [m for m in tier if self._track(m.node).ejected_until > now]
-        if not ejected:
-            return tier
-        allowed = int(len(tier) * EJECT_SHARE)
-        ejected.sort(key=lambda m: self._track(m.node).ejected_until, reverse=True)
-        dropped = {member.node for member in ejected[:allowed]}
-        return [member for member in tier if member.node not in dropped]
+        until: dict[NodeId, float] = {}
+        total = 0
+        for tier in tiers:
+            total += len(tier)
+            for member in tier:
+                track = self._tracks.get(member.node)
+                if track is not None and track.ejected_until > now:
+                    until[member.node] = track.ejected_until
+        if not until:
+            return _NOBODY
+        # The share is of all servers, so that a lone near one can be set aside.
+        allowed = int(total * EJECT_SHARE)
+        longest = sorted(until, key=until.__getitem__, reverse=True)
+        return set(longest[:allowed])
 
     def _choose_one(self, usable: list[Member]) -> Member:
         if self._is_free():
--- a/src/fuchsiaspool/filters/routing.py
+++ b/src/fuchsiaspool/filters/routing.py
@@ -24,6 +24,10 @@
     )
 )
 
+_NO_LOAD: Final = frozenset(
+    (NotRunReason.CONNECT_FAILED, NotRunReason.LEAVING, NotRunReason.NOT_READY)
+)
+
 
 def make_routing(
     clock: Clock,
@@ -44,7 +48,7 @@
             if isinstance(chosen, NotRunReason):
                 return outcome or NotRun(chosen)
             # A retry is paid for only once there is a server to send it to.
-            if outcome is not None and not _pay(call, ratio):
+            if outcome is not None and not _pay(call, ratio, outcome):
                 return outcome
             outcome = _attempt(clock, balancer, forward, chosen, call)
             if not may_retry(call, outcome, clock.now()):
@@ -70,10 +74,12 @@
             return call.idempotent and outcome.reason is not UnknownReason.CANCELLED
 
 
-def _pay(call: Call, ratio: RetryRatio) -> bool:
-    return (
-        call.allowance.left > 0 and ratio.take(call.service) and call.allowance.take()
-    )
+def _pay(call: Call, ratio: RetryRatio, outcome: Outcome) -> bool:
+    if call.allowance.left < 1:
+        return False
+    # Where no server did any work, trying another one adds no load.
+    free = isinstance(outcome, NotRun) and outcome.reason in _NO_LOAD
+    return (free or ratio.take(call.service)) and call.allowance.take()
 
 
 def _attempt(
