Give operators a command line, a load tool, stand-ins and a recorder

Cause: the fleet could be operated only from code. Change: fuchsiaspool-ctl (settings check, show, diff, apply, history and reference, status, histograms, operations, drain), fuchsiaspool-load, fuchsiaspool-standin, a trace recorder in the node, queue-delay histograms, and the generated settings reference with a check that it is current. Before: none of it. After: 14 tests run the commands against a real node and the platform stand-in.

--- a/src/fuchsiaspool/chains.py
+++ b/src/fuchsiaspool/chains.py
@@ -10,7 +10,7 @@
 from .controllers.balancer import Balancer, Place
 from .controllers.buckets import TokenBucket
 from .controllers.counters import Counters
-from .controllers.histograms import Histograms
+from .controllers.histograms import Histograms, Measure
 from .controllers.members import Member, MemberTable
 from .controllers.retries import Grants, RetryRatio
 from .controllers.threshold import LearnedThresholds
@@ -18,7 +18,7 @@
 from .filters.budget import make_budget
 from .filters.classification import make_classification
 from .filters.deadline import make_deadline
-from .filters.observation import make_observation
+from .filters.observation import find_class, make_observation
 from .filters.routing import make_routing
 from .filters.shedding import make_shedding
 from .ids import Revision
@@ -106,10 +106,13 @@
     learned = LearnedThresholds(clock)
     histograms = Histograms()
     counters = Counters()
-    inbound = compose(
-        [make_deadline(clock), make_admission(clock, admission, parts.find_refusal)],
-        parts.dispatch,
-    )
+
+    def record_delay(call: Call, seconds: float) -> None:
+        name = find_class(policies.current, call)
+        histograms.record(Measure.QUEUE_DELAY, name, call.caller, seconds)
+
+    admit = make_admission(clock, admission, parts.find_refusal, record_delay)
+    inbound = compose([make_deadline(clock), admit], parts.dispatch)
     forward = _make_forward(parts, inbound)
     filters: list[Filter] = [
         make_observation(clock, histograms, counters, policies.get),
--- /dev/null
+++ b/src/fuchsiaspool/commands/exits.py
@@ -0,0 +1,14 @@
+"""Name the exit codes of the operators' program."""
+
+from enum import IntEnum
+
+
+class Exit(IntEnum):
+    """Say how a sub-command ended."""
+
+    DONE = 0
+    DIFFERENT = 1
+    USAGE = 2
+    REFUSED = 3
+    UNREACHABLE = 4
+    NOT_KNOWN = 5
--- a/src/fuchsiaspool/commands/node.py
+++ b/src/fuchsiaspool/commands/node.py
@@ -15,6 +15,7 @@
 from ..logs import configure_logs
 from ..node import Node
 from ..options import read_options
+from ..replay.trace import make_writer
 from ..results import Err
 from ..runtime import tune_collector
 
@@ -38,7 +39,11 @@
     if parsed.check:
         print(f"{parsed.settings}: ok")
         return 0
-    _run(Node(options.value))
+    if parsed.record is None:
+        _run(Node(options.value))
+        return 0
+    with open(parsed.record, "wb", buffering=0) as file:
+        _run(Node(options.value, make_writer(file, options.value.place.node)))
     return 0
 
 
@@ -49,6 +54,9 @@
     )
     parser.add_argument("settings", help="INI file that places this node")
     parser.add_argument("--check", action="store_true", help="check and exit")
+    parser.add_argument(
+        "--record", metavar="FILE", help="write a trace of what callers ask"
+    )
     parser.add_argument("--log-level", default="INFO", help="least level to log")
     return parser
 
--- /dev/null
+++ b/src/fuchsiaspool/commands/nodes.py
@@ -0,0 +1,157 @@
+"""Look at nodes and drain them."""
+
+import argparse
+import sys
+from typing import Any, Final, TypeVar
+
+import msgspec
+import urllib3
+from hdrh.histogram import HdrHistogram
+from urllib3.exceptions import HTTPError
+
+from ..addresses import Address
+from ..clock import SystemClock
+from ..control import HistogramExport, NodeStatus
+from ..plots import draw_bars, format_table
+from .exits import Exit
+
+REQUEST_SECONDS: Final = 3.0
+DRAIN_SECONDS: Final = 60.0
+LOOK_SECONDS: Final = 0.5
+HTTP_OK: Final = 200
+
+T = TypeVar("T")
+
+
+def fetch(node: Address, path: str, kind: type[T], method: str = "GET") -> T | None:
+    """Read one control page; say on standard error why if it can't be had."""
+    url = f"http://{node}{path}"
+    try:
+        answer = urllib3.request(method, url, timeout=REQUEST_SECONDS, retries=False)
+    except HTTPError as error:
+        print(f"{node}: unreachable: {error}", file=sys.stderr)
+        return None
+    if answer.status != HTTP_OK:
+        print(f"{node}: status {answer.status}", file=sys.stderr)
+        return None
+    try:
+        return msgspec.json.decode(answer.data, type=kind)
+    except msgspec.DecodeError as error:
+        print(f"{node}: not a node's answer: {error}", file=sys.stderr)
+        return None
+
+
+def fetch_status(node: Address) -> NodeStatus | None:
+    """Read a node's status."""
+    return fetch(node, "/status", NodeStatus)
+
+
+def show_status(options: argparse.Namespace) -> int:
+    """Print the status of each node."""
+    code = Exit.DONE
+    for node in options.node:
+        status = fetch_status(node)
+        if status is None:
+            code = Exit.UNREACHABLE
+            continue
+        if options.json:
+            print(msgspec.json.encode(status).decode())
+        else:
+            _print_status(status)
+    return code
+
+
+def show_histograms(options: argparse.Namespace) -> int:
+    """Print latencies, merged over the nodes that answered."""
+    code = Exit.DONE
+    merged: dict[str, Any] = {}
+    for node in options.node:
+        exports = fetch(node, "/histograms", list[HistogramExport])
+        if exports is None:
+            code = Exit.UNREACHABLE
+            continue
+        for export in exports:
+            if export.kind == options.kind:
+                _merge(merged, export)
+    if options.json:
+        encoded = {name: h.encode().decode() for name, h in sorted(merged.items())}
+        print(msgspec.json.encode(encoded).decode())
+        return code
+    rows = sorted(merged.items())
+    for line in format_table(rows):
+        print(line)
+    for name, histogram in rows if options.plot else ():
+        for line in draw_bars(name, histogram):
+            print(line)
+    return code
+
+
+def drain(options: argparse.Namespace) -> int:
+    """Let nodes leave, and wait until nothing is in flight."""
+    code = Exit.DONE
+    for node in options.node:
+        status = fetch(node, "/drain", NodeStatus, "POST")
+        if status is None:
+            code = Exit.UNREACHABLE
+            continue
+        left = _await_drained(node, status)
+        if options.json:
+            print(msgspec.json.encode({"node": str(node), "left": left}).decode())
+        else:
+            print(f"{node}: {'drained' if not left else f'{left} still in flight'}")
+        if left:
+            code = Exit.DIFFERENT
+    return code
+
+
+def _await_drained(node: Address, status: NodeStatus) -> int:
+    clock = SystemClock()
+    last = clock.now() + DRAIN_SECONDS
+    while clock.now() < last:
+        left = status.in_flight + status.queued
+        print(f"{node}: {left} in flight", file=sys.stderr)
+        clock.sleep(LOOK_SECONDS)
+        if not left:
+            return 0
+        found = fetch_status(node)
+        if found is None:
+            # It has stopped, which it does only when nothing is left.
+            return 0
+        status = found
+    return status.in_flight + status.queued
+
+
+def _merge(merged: dict[str, Any], export: HistogramExport) -> None:
+    name = f"{export.measure} {export.name}"
+    found = HdrHistogram.decode(export.encoded.encode())
+    if name in merged:
+        merged[name].add(found)
+    else:
+        merged[name] = found
+
+
+def _print_status(status: NodeStatus) -> None:
+    reachable = "reachable" if status.platform_reachable else "unreachable"
+    print(
+        f"{status.node} ({status.service}, {status.data_centre}): {status.state}, "
+        f"platform {reachable}"
+    )
+    print(
+        f"  settings revision {status.revision}, in force for "
+        f"{status.settings_age:.0f} s"
+    )
+    if status.settings_fault:
+        print(f"  settings not adopted: {status.settings_fault}")
+    print(
+        f"  in flight {status.in_flight} of {status.limit:.0f}, "
+        f"queued {status.queued}, sheds above rank {status.threshold:.2f}"
+    )
+    members = ", ".join(f"{n} {s}" for s, n in sorted(status.members.items()))
+    print(f"  members: {members}; operations to settle: {status.unsettled_operations}")
+    for name, found in sorted(status.classes.items()):
+        refused = ", ".join(f"{n} {r}" for r, n in sorted(found.not_run.items()))
+        unknown = ", ".join(f"{n} {r}" for r, n in sorted(found.unknown.items()))
+        print(
+            f"  {name}: answered {found.answered}, failed {found.failed}, "
+            f"not run {refused or 0}, unknown {unknown or 0}, retries {found.retries}"
+        )
--- a/src/fuchsiaspool/control.py
+++ b/src/fuchsiaspool/control.py
@@ -1,6 +1,5 @@
 """Serve operators: status, histograms, settings, drain."""
 
-from base64 import b64encode
 from collections.abc import Callable
 from typing import Any
 
@@ -108,8 +107,3 @@
 def _encode(value: Any) -> bytes:
     bottle.response.content_type = "application/json"
     return msgspec.json.encode(value)
-
-
-def encode_histogram(data: bytes | str) -> str:
-    """Turn the library's encoding into text."""
-    return data if isinstance(data, str) else b64encode(data).decode()
--- a/src/fuchsiaspool/controllers/histograms.py
+++ b/src/fuchsiaspool/controllers/histograms.py
@@ -18,6 +18,7 @@
 
     LATENCY = "latency"
     REFUSAL = "refusal"
+    QUEUE_DELAY = "queue-delay"
 
 
 class Histograms:
--- a/src/fuchsiaspool/filters/admission.py
+++ b/src/fuchsiaspool/filters/admission.py
@@ -12,7 +12,10 @@
 
 
 def make_admission(
-    clock: Clock, admission: Admission, find_refusal: Callable[[], NotRunReason | None]
+    clock: Clock,
+    admission: Admission,
+    find_refusal: Callable[[], NotRunReason | None],
+    record_delay: Callable[[Call, float], None] = lambda call, seconds: None,
 ) -> Filter:
     """Return a filter that admits calls in the order of their importance."""
 
@@ -20,10 +23,12 @@
         reason = find_refusal()
         if reason is not None:
             return NotRun(reason)
+        arrived = clock.now()
         refusal = admission.enter(call)
+        started = clock.now()
+        record_delay(call, started - arrived)
         if refusal is not None:
             return refusal
-        started = clock.now()
         outcome: Outcome | None = None
         try:
             outcome = following(call)
--- a/src/fuchsiaspool/filters/observation.py
+++ b/src/fuchsiaspool/filters/observation.py
@@ -25,7 +25,7 @@
     def observe(call: Call, following: Next) -> Outcome:
         outcome = following(call)
         seconds = clock.now() - call.start
-        name = _find_class(get_policy(), call)
+        name = find_class(get_policy(), call)
         counts = counters.find(name)
         counts.retries += call.allowance.charged
         counts.most_retries = max(counts.most_retries, call.allowance.charged)
@@ -48,7 +48,8 @@
     return observe
 
 
-def _find_class(policy: Policy, call: Call) -> str:
+def find_class(policy: Policy, call: Call) -> str:
+    """Return the name of a call's class, or `none` where settings know none."""
     service = policy.services.get(call.service)
     if service is None:
         return "none"
--- a/src/fuchsiaspool/node.py
+++ b/src/fuchsiaspool/node.py
@@ -9,7 +9,7 @@
 import gevent
 import gevent.event
 
-from .calls import Call
+from .calls import Call, Filter
 from .chains import Core, CoreParts, build_core
 from .clock import SystemClock
 from .control import (
@@ -19,7 +19,6 @@
     HistogramExport,
     NodeStatus,
     SettingsExport,
-    encode_histogram,
 )
 from .controllers.bridging import PERIOD_SECONDS as BRIDGE_SECONDS, Bridging, is_chosen
 from .controllers.contexts import Contexts
@@ -30,6 +29,7 @@
 from .dispatch import make_dispatch
 from .entrances import make_caller_entrance, make_mesh_entrance, make_server_entrance
 from .filters.claim import make_claim
+from .filters.recording import make_recording
 from .http.client import Pool, make_send
 from .http.server import HttpServer
 from .ids import Incarnation
@@ -44,6 +44,7 @@
 from .peers.transport import PeerTransport
 from .peers.wiring import wire_members, wire_operations
 from .platform.client import make_no_platform, make_platform
+from .replay.trace import RequestLine
 from .watching import SettingsWatch
 
 _LOG = logging.getLogger(__name__)
@@ -66,8 +67,13 @@
 class Node:
     """Hold the parts of one node and their life from start to stop."""
 
-    def __init__(self, options: NodeOptions) -> None:
+    def __init__(
+        self,
+        options: NodeOptions,
+        write_trace: Callable[[RequestLine], None] | None = None,
+    ) -> None:
         self.options = options
+        self._write_trace = write_trace
         self.state = NodeState.STARTING
         self.stopped = gevent.event.Event()
         self.cut_calls = 0
@@ -183,10 +189,16 @@
             make_remote(self._clock, send),
             self._find_refusal,
             make_claim(self._clock, self.claims),
+            self._make_recording(),
         )
         self.core: Core = build_core(parts)
         self.keeper = SettingsKeeper(self._clock, self.core.policies.put, self.bus.send)
 
+    def _make_recording(self) -> Filter | None:
+        if self._write_trace is None:
+            return None
+        return make_recording(self._clock, self.options.place, self._write_trace)
+
     def _build_membership(self) -> None:
         options, core = self.options, self.core
         place = options.place
@@ -353,6 +365,6 @@
 
     def _export_histograms(self) -> list[HistogramExport]:
         return [
-            HistogramExport(measure.value, kind, name, encode_histogram(data))
+            HistogramExport(measure.value, kind, name, data.decode())
             for (measure, kind, name), data in self.core.histograms.export().items()
         ]
--- /dev/null
+++ b/src/fuchsiaspool/plots.py
@@ -0,0 +1,32 @@
+"""Draw histograms for a terminal."""
+
+from collections.abc import Iterator
+from typing import Any, Final
+
+PERCENTILES: Final = (50.0, 75.0, 90.0, 99.0, 99.9, 100.0)
+BAR_WIDTH: Final = 40
+_MILLI: Final = 1000.0
+
+
+def format_table(rows: list[tuple[str, Any]]) -> Iterator[str]:
+    """Yield a line for each histogram with its percentiles in milliseconds."""
+    titles = "".join(f"{f'p{p:g}':>10}" for p in PERCENTILES)
+    yield f"{'':30}{'count':>9}{titles}"
+    for name, histogram in rows:
+        values = [histogram.get_value_at_percentile(p) / _MILLI for p in PERCENTILES]
+        cells = "".join(f"{value:>10.2f}" for value in values)
+        yield f"{name:30}{histogram.get_total_count():>9}{cells}"
+
+
+def draw_bars(name: str, histogram: Any) -> Iterator[str]:
+    """Yield bars of counts between powers of two, in milliseconds."""
+    yield name
+    counts: dict[int, int] = {}
+    for item in histogram.get_recorded_iterator():
+        bucket = int(item.value_iterated_to).bit_length()
+        counts[bucket] = counts.get(bucket, 0) + int(item.count_at_value_iterated_to)
+    most = max(counts.values(), default=1)
+    for bucket in range(min(counts, default=0), max(counts, default=-1) + 1):
+        count = counts.get(bucket, 0)
+        bar = "#" * round(count / most * BAR_WIDTH)
+        yield f"  up to {(1 << bucket) / _MILLI:>10.2f} ms {count:>8} {bar}"
--- a/src/fuchsiaspool/replay/trace.py
+++ b/src/fuchsiaspool/replay/trace.py
@@ -1,10 +1,10 @@
 """Define the lines of a trace and read them."""
 
-from collections.abc import Container, Iterable
+from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 from pathlib import Path
-from typing import Annotated, Final
+from typing import Annotated, BinaryIO, Final
 
 import msgspec
 from msgspec import Meta, Struct
@@ -13,6 +13,7 @@
 from ..results import Err, Ok, Result
 
 VERSION: Final = 1
+RECORDED_SECONDS: Final = 86_400.0
 Seconds = Annotated[float, Meta(ge=0.0, le=200_000.0)]
 Milliseconds = Annotated[float, Meta(ge=0.0, le=3_600_000.0)]
 Share = Annotated[float, Meta(ge=0.0, le=1.0)]
@@ -196,6 +197,19 @@
 encode_line: Final = msgspec.json.Encoder().encode
 
 
+def make_writer(file: BinaryIO, name: str) -> Callable[[RequestLine], None]:
+    """Begin a trace in a file and return a function that adds a line to it."""
+    header = TraceHeader(
+        version=VERSION, name=name, settings="settings", seconds=RECORDED_SECONDS
+    )
+    file.write(encode_line(header) + b"\n")
+
+    def write(line: RequestLine) -> None:
+        file.write(encode_line(line) + b"\n")
+
+    return write
+
+
 @dataclass(frozen=True, slots=True)
 class TraceFault:
     """Say which line of which file can't be used, and why."""
--- /dev/null
+++ b/src/fuchsiaspool/settings/reference.py
@@ -0,0 +1,71 @@
+"""Write the reference of settings from the definitions that check them."""
+
+from collections.abc import Iterator
+from typing import Any, Final, get_args, get_type_hints
+
+import msgspec
+
+from .sections import (
+    ClassSection,
+    LimitsSection,
+    NodeSection,
+    OperationSection,
+    OwnerSection,
+    ServiceSection,
+)
+
+SECTIONS: Final = (
+    ("[owner]", OwnerSection, "subtree"),
+    ("[limits]", LimitsSection, "subtree"),
+    ("[class NAME]", ClassSection, "subtree"),
+    ("[service NAME]", ServiceSection, "subtree"),
+    ("[operation NAME]", OperationSection, "subtree"),
+    ("[node]", NodeSection, "node"),
+)
+
+
+def write_reference() -> str:
+    """Return the reference as Markdown."""
+    return "\n".join(_list_lines()) + "\n"
+
+
+def _list_lines() -> Iterator[str]:
+    yield "# Settings reference"
+    yield ""
+    yield "Generated from the definitions that check the settings:"
+    yield "`fuchsiaspool-ctl settings reference`. Options of a subtree are the owning"
+    yield "team's; those of `[node]` are in the node's own file and its operators'."
+    for title, kind, _ in SECTIONS:
+        yield ""
+        yield f"## `{title}`"
+        yield ""
+        yield kind.__doc__ or ""
+        yield ""
+        yield "| Option | Type | Default | Bounds | Meaning |"
+        yield "|---|---|---|---|---|"
+        for field in msgspec.structs.fields(kind):
+            yield _describe(kind, field)
+
+
+def _describe(kind: Any, field: msgspec.structs.FieldInfo) -> str:
+    plain = get_type_hints(kind)[field.name]
+    options = [t for t in get_args(plain) if t is not type(None)] or [plain]
+    meta = _find_meta(get_type_hints(kind, include_extras=True)[field.name])
+    default = "required"
+    if field.default is not msgspec.NODEFAULT:
+        default = "inherited" if field.default is None else repr(field.default)
+    bounds = ""
+    if meta.ge is not None:
+        bounds = f"{meta.ge} to {meta.le}" if meta.le is not None else f"from {meta.ge}"
+    return (
+        f"| `{field.encode_name}` | {options[0].__name__} | {default} | {bounds} "
+        f"| {meta.description} |"
+    )
+
+
+def _find_meta(hint: Any) -> msgspec.Meta:
+    for part in (hint, *get_args(hint)):
+        for extra in getattr(part, "__metadata__", ()):
+            if isinstance(extra, msgspec.Meta):
+                return extra
+    return msgspec.Meta()
--- /dev/null
+++ b/tests/test_commands.py
@@ -0,0 +1,247 @@
+import contextlib
+import io
+import logging
+import os
+import random
+import tempfile
+import unittest
+from pathlib import Path
+
+import gevent
+import msgspec
+
+from fuchsiaspool.addresses import Address
+from fuchsiaspool.clock import SystemClock
+from fuchsiaspool.commands import ctl, load, node as node_command
+from fuchsiaspool.commands.exits import Exit
+from fuchsiaspool.ids import NodeId, SubtreePath
+from fuchsiaspool.logs import JsonFormatter
+from fuchsiaspool.node import Node, NodeState
+from fuchsiaspool.operations.changes import Claim
+from fuchsiaspool.operations.commits import GroupCommitter
+from fuchsiaspool.operations.keys import make_key, place_key
+from fuchsiaspool.platform.client import make_platform
+from fuchsiaspool.replay.trace import make_writer, read_trace
+from fuchsiaspool.settings.files import write_folder
+from fuchsiaspool.settings.reference import write_reference
+from fuchsiaspool.standins.platform import PlatformStandin
+from fuchsiaspool.standins.server import ServerPlan, ServerStandin
+
+from .support import TEXTS, make_options, make_policy, start_node, take_address
+from .test_stop import SETTINGS
+
+ROOT = Path(__file__).parent.parent
+
+
+class CommandCase(unittest.TestCase):
+    def setUp(self):
+        self.platform = PlatformStandin(Address("127.0.0.1", 0))
+        self.platform.start()
+        self.addCleanup(self.platform.stop)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        write_folder(self.folder, TEXTS)
+
+    def run_ctl(self, *arguments):
+        out, err = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+            try:
+                code = ctl.main([str(argument) for argument in arguments])
+            except SystemExit as stop:
+                code = stop.code
+        return code, out.getvalue(), err.getvalue()
+
+    def run_settings(self, action, *arguments):
+        where = ("--platform", self.platform.address)
+        return self.run_ctl("settings", action, *arguments, *where)
+
+
+class SettingsCommandTests(CommandCase):
+    def test_a_change_goes_from_check_to_history(self):
+        check = self.run_ctl("settings", "check", self.folder)
+        self.assertEqual(check[0], Exit.DONE)
+        self.assertEqual(self.run_settings("diff", self.folder)[0], Exit.DIFFERENT)
+        code, out, _ = self.run_settings("apply", self.folder, "--team", "platform")
+        self.assertEqual((code, out.split(":")[0]), (0, "accepted as revision 1"))
+        self.assertEqual(self.run_settings("diff", self.folder)[0], Exit.DONE)
+        code, out, _ = self.run_settings("history", "--json")
+        entry = msgspec.json.decode(out)[0]
+        self.assertEqual((entry["revision"], entry["team"]), (1, "platform"))
+        code, out, _ = self.run_settings("show")
+        self.assertIn("slots = 4", out)
+
+    def test_a_fault_names_file_section_and_option(self):
+        file = self.folder / "agency" / "quota.ini"
+        file.write_text(file.read_text().replace("slots = 4", "slots = many"))
+        code, _, err = self.run_ctl("settings", "check", self.folder)
+        self.assertEqual(code, Exit.USAGE)
+        for part in ("agency/quota", "[service quota]", "slots", "int"):
+            self.assertIn(part, err)
+
+    def test_another_teams_subtree_and_a_clash_are_refused(self):
+        self.run_settings("apply", self.folder, "--team", "platform")
+        base = self.folder / "base"
+        write_folder(base, TEXTS)
+        path = SubtreePath("agency/quota")
+        for name, team, code in (
+            ("first", "other", Exit.REFUSED),
+            ("first", "quota", Exit.DONE),
+            ("second", "quota", Exit.REFUSED),
+        ):
+            mine = self.folder / name
+            text = TEXTS[path].replace("slots = 4", f"slots = {len(name)}")
+            write_folder(mine, {**TEXTS, path: text})
+            found = self.run_settings("apply", mine, "--team", team, "--base", base)
+            self.assertEqual(found[0], code, found)
+
+    def test_without_the_platform_nothing_is_changed_and_it_is_said(self):
+        self.platform.faults.down = True
+        code, _, err = self.run_settings("apply", self.folder, "--team", "platform")
+        self.assertEqual(code, Exit.UNREACHABLE)
+        self.assertIn("platform unreachable", err)
+
+    def test_the_committed_reference_is_current(self):
+        committed = (ROOT / "docs" / "SETTINGS.md").read_text()
+        self.assertEqual(committed, write_reference())
+
+    def test_the_example_trees_pass_the_check(self):
+        for folder in sorted((ROOT / "examples").iterdir()):
+            if folder.is_dir():
+                code, _, err = self.run_ctl("settings", "check", folder)
+                self.assertEqual((code, err), (0, ""))
+
+
+class NodeCommandTests(CommandCase):
+    def start(self, **fields):
+        plan = ServerPlan(slots=4, service_time=0.0, answer_size=5)
+        server = ServerStandin(take_address(), plan)
+        server.start()
+        self.addCleanup(server.kill)
+        return start_node(self, make_options(server.address, **fields))
+
+    def send(self, node, count=20):
+        target = f"here={node.options.callers}"
+        rate = ("--rate", "100", "--seconds", str(count / 100), "--json")
+        shape = ("--shape", "check:1:GET:/quota/1")
+        out, err = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+            load.main(["--target", target, *rate, *shape])
+        return msgspec.json.decode(out.getvalue())
+
+    def test_status_and_histograms_are_there_without_a_platform(self):
+        node = self.start()
+        sent = self.send(node)
+        code, out, _ = self.run_ctl("status", node.options.control, "--json")
+        status = msgspec.json.decode(out)
+        self.assertEqual(code, 0)
+        self.assertEqual(
+            status["classes"]["critical"]["answered"], sent["whole"]["check"]
+        )
+        self.assertEqual(status["revision"], 1)
+        self.assertFalse(status["platform_reachable"])
+        self.assertIn("in force for", self.run_ctl("status", node.options.control)[1])
+        code, out, _ = self.run_ctl("histograms", node.options.control, "--plot")
+        self.assertIn("latency critical", out)
+        self.assertIn("queue-delay critical", out)
+        self.assertIn("#", out)
+        _, out, _ = self.run_ctl("histograms", node.options.control, "--kind", "caller")
+        self.assertIn("kitchen", out)
+
+    def test_a_node_that_is_not_there_is_said_to_be_unreachable(self):
+        code, _, err = self.run_ctl("status", take_address())
+        self.assertEqual(code, Exit.UNREACHABLE)
+        self.assertIn("unreachable", err)
+
+    def test_drain_lets_a_node_leave(self):
+        node = self.start()
+        code, out, _ = self.run_ctl("drain", node.options.control)
+        self.assertEqual(code, 0, out)
+        node.stopped.wait(5)
+        self.assertEqual(node.state.value, "stopped")
+
+    def test_settings_in_force_on_a_node_are_shown(self):
+        node = self.start()
+        code, out, _ = self.run_ctl("settings", "show", "--node", node.options.control)
+        self.assertEqual(code, 0)
+        self.assertIn("# revision 1", out)
+
+    def test_check_of_a_nodes_own_settings(self):
+        file = self.folder / "node.ini"
+        values = dict.fromkeys(
+            ("callers", "mesh", "egress", "control", "peers", "server", "platform"),
+            "127.0.0.1:1",
+        )
+        text = SETTINGS.format(name="a", contacts="", grace=1, **values)
+        cases = [
+            (text, 0, "ok"),
+            (text.replace("callers = 127.0.0.1:1", "callers = here:1"), 2, "IP:port"),
+            (text.replace("id = a", ""), 2, "id"),
+            (text.replace("grace-ms = 1", "grace-ms = soon"), 2, "grace-ms"),
+            ("", 2, "section is missing"),
+        ]
+        for content, code, word in cases:
+            file.write_text(content)
+            out = io.StringIO()
+            with contextlib.redirect_stdout(out), contextlib.redirect_stderr(out):
+                found = node_command.main([str(file), "--check"])
+            self.assertEqual(found, code)
+            self.assertIn(word, out.getvalue())
+
+    def test_what_a_node_records_can_be_replayed(self):
+        file = self.folder / "recorded.jsonl"
+        plan = ServerPlan(slots=4, service_time=0.0, answer_size=5)
+        server = ServerStandin(take_address(), plan)
+        server.start()
+        self.addCleanup(server.kill)
+        with open(file, "wb", buffering=0) as stream:
+            write = make_writer(stream, "a")
+            node = Node(make_options(server.address), write)
+            self.addCleanup(node.cut)
+            node.core.policies.put(make_policy())
+            node.state = NodeState.READY
+            node.start()
+            sent = self.send(node)
+        header, *lines = file.read_text().splitlines()
+        system = [
+            '{"kind":"data-centre","name":"north-1","region":"north"}',
+            '{"kind":"service","name":"quota","servers":{"north-1":1},"slots":4}',
+            '{"kind":"operation","name":"check","call-class":"critical",'
+            '"tree":{"service":"quota","target":"/quota/1"}}',
+        ]
+        file.write_text("\n".join([header, *system, *lines]))
+        trace = read_trace(file).value
+        self.assertEqual(len(trace.requests), sent["offered"]["check"])
+        self.assertEqual(trace.requests[0].outcome, "answered 200")
+        self.assertEqual(trace.requests[0].answer_bytes, 5)
+
+
+class OperationCommandTests(CommandCase):
+    def test_a_key_in_doubt_is_shown_and_settled(self):
+        clock = SystemClock()
+        platform = make_platform(self.platform.address, clock, random.Random(1))
+        committer = GroupCommitter(clock, NodeId("a"), platform)
+        key = make_key(clock.wall(), 5)
+        shard = place_key(key, clock.wall()).value
+        where = ("--platform", self.platform.address)
+        claim = Claim(key, "c", NodeId("a"), "f", clock.wall() + 0.2)
+        committer.commit(shard, claim)
+        resolve = ("operations", "resolve", key, "--ran", "no", *where)
+        self.assertEqual(self.run_ctl(*resolve)[0], Exit.DIFFERENT)
+        gevent.sleep(0.25)
+        _, out, _ = self.run_ctl("operations", "show", key, *where)
+        self.assertIn("state claimed, held by a", out)
+        self.assertEqual(self.run_ctl(*resolve)[0], Exit.DONE)
+        _, out, _ = self.run_ctl("operations", "show", key, *where)
+        self.assertIn("did not run", out)
+        wrong = self.run_ctl("operations", "show", "abc", *where)
+        self.assertEqual(wrong[0], Exit.USAGE)
+
+
+class LogTests(unittest.TestCase):
+    def test_logs_are_json_lines_with_fields(self):
+        record = logging.makeLogRecord({"msg": "not-run", "request": "r-1"})
+        record.created = 5.0
+        line = msgspec.json.decode(JsonFormatter().format(record))
+        self.assertEqual((line["message"], line["request"]), ("not-run", "r-1"))
+        self.assertNotIn(os.linesep, JsonFormatter().format(record))
