--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,6 @@
 
 bench-overhead: setup
 	$(BIN)/python -m fuchsiaspool.benchmarks.overhead
+
+bench-capacity: setup
+	$(BIN)/python -m fuchsiaspool.benchmarks.capacity
--- /dev/null
+++ b/src/fuchsiaspool/benchmarks/memory.py
@@ -0,0 +1,71 @@
+"""Measure the resident memory of a whole node that knows many members."""
+
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Final
+
+import gevent
+
+from ..addresses import Address
+from ..controllers.members import Member
+from ..ids import DataCentre, Incarnation, NodeId, Region, Revision, ServiceName
+from ..peers.messages import Envelope, Sync, encode_envelope
+from ..peers.transport import PeerTransport
+
+FIRST_PORT: Final = 25_100
+PEERS_OFFSET: Final = 4
+SETTLE_SECONDS: Final = 2.0
+MEMBERS_A_MESSAGE: Final = 100
+KILO: Final = 1000.0
+
+
+def measure_memory(members: int, number: int) -> float:
+    """Return the megabytes of a node that was told of so many members."""
+    own = Address("127.0.0.1", FIRST_PORT + 20 * number)
+    nowhere = "127.0.0.1:9"
+    command = [sys.executable, "-m", "fuchsiaspool.benchmarks.rungs", "node"]
+    process = subprocess.Popen([*command, str(own), nowhere, nowhere])
+    sender = Address("127.0.0.1", own.port + 10)
+    transport = PeerTransport(sender, lambda data: None)
+    try:
+        gevent.sleep(SETTLE_SECONDS)
+        target = Address(own.host, own.port + PEERS_OFFSET)
+        known = [_make_member(n) for n in range(members)]
+        for start in range(0, members, MEMBERS_A_MESSAGE):
+            sync = Sync(known[start : start + MEMBERS_A_MESSAGE])
+            transport.send(target, _wrap(sync, sender))
+            gevent.sleep(0.1)
+        gevent.sleep(SETTLE_SECONDS)
+        return _read_resident(process.pid)
+    finally:
+        transport.stop()
+        process.kill()
+        process.wait()
+
+
+def _make_member(number: int) -> Member:
+    # Another data centre: nobody here is pinged.
+    return Member(
+        NodeId(f"node-{number}"),
+        ServiceName(f"s{number % 110}"),
+        DataCentre(f"south-{number % 3}"),
+        Region("south"),
+        "127.0.0.1:9",
+        "127.0.0.1:9",
+        Incarnation(int(time.time() * KILO)),
+    )
+
+
+def _wrap(sync: Sync, sender: Address) -> bytes:
+    centre = DataCentre("south-1")
+    envelope = Envelope(NodeId("x"), str(sender), centre, Revision(0), [], sync)
+    return encode_envelope(envelope)
+
+
+def _read_resident(pid: int) -> float:
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS"):
+            return int(line.split()[1]) / KILO
+    return 0.0
--- a/src/fuchsiaspool/calls.py
+++ b/src/fuchsiaspool/calls.py
@@ -7,7 +7,14 @@
 
 from .allowance import Allowance
 from .bodies import Body, Headers
-from .ids import CallerId, OperationKey, OperationName, RequestId, ServiceName
+from .ids import (
+    CallerId,
+    ClassName,
+    OperationKey,
+    OperationName,
+    RequestId,
+    ServiceName,
+)
 from .outcomes import Outcome
 
 _HASH_SPAN: Final = float(1 << 32)
@@ -60,6 +67,7 @@
     allowance: Allowance
     rank: float = 0.0
     operation: OperationName = OperationName("")
+    call_class: ClassName = ClassName("")
     critical: bool = False
     idempotent: bool = False
     protected: bool = False
--- a/src/fuchsiaspool/controllers/histograms.py
+++ b/src/fuchsiaspool/controllers/histograms.py
@@ -9,6 +9,7 @@
 HIGHEST_MICROSECONDS: Final = 600_000_000
 SIGNIFICANT_DIGITS: Final = 2
 CALLER_LIMIT: Final = 40
+PENDING_LIMIT: Final = 10_000
 POOLED: Final = "others"
 _MICRO: Final = 1_000_000
 
@@ -25,25 +26,32 @@
     """Keep a bounded set of mergeable histograms; callers beyond it are pooled."""
 
     def __init__(self) -> None:
+        self._pending: list[tuple[Measure, str, str, float]] = []
         self._histograms: dict[tuple[Measure, str, str], HdrHistogram] = {}
         self._callers: set[str] = set()
 
     def record(
         self, measure: Measure, class_name: str, caller: str, seconds: float
     ) -> None:
-        """Count one duration for its class and its caller."""
-        value = max(LOWEST_MICROSECONDS, int(seconds * _MICRO))
-        self._find(measure, "class", class_name).record_value(value)
-        self._find(measure, "caller", self._pool(caller)).record_value(value)
+        """Note one duration for its class and its caller."""
+        # Counted later, so that no call waits for it.
+        self._pending.append((measure, class_name, caller, seconds))
+        if len(self._pending) >= PENDING_LIMIT:
+            self.flush()
+
+    def flush(self) -> None:
+        """Count what was noted."""
+        pending, self._pending = self._pending, []
+        for measure, class_name, caller, seconds in pending:
+            value = max(LOWEST_MICROSECONDS, int(seconds * _MICRO))
+            self._find(measure, "class", class_name).record_value(value)
+            self._find(measure, "caller", self._pool(caller)).record_value(value)
 
     def export(self) -> dict[tuple[Measure, str, str], bytes]:
         """Return every histogram in the library's own mergeable encoding."""
+        self.flush()
         return {key: found.encode() for key, found in self._histograms.items()}
 
-    def find_all(self) -> dict[tuple[Measure, str, str], HdrHistogram]:
-        """Return every histogram by measure, kind and name."""
-        return self._histograms
-
     def _pool(self, caller: str) -> str:
         if caller in self._callers:
             return caller
--- a/src/fuchsiaspool/controllers/membership.py
+++ b/src/fuchsiaspool/controllers/membership.py
@@ -100,6 +100,10 @@
         for member in self._chance.sample(peers, count):
             self._send(parse_address(member.peers), Ack(0))
 
+    def forget_news(self) -> None:
+        """Hold all that is known for told."""
+        self._news.clear()
+
     def collect_updates(self) -> list[Member]:
         """Return news that was told least often, and count it as told."""
         if not self._news:
--- a/src/fuchsiaspool/entrances.py
+++ b/src/fuchsiaspool/entrances.py
@@ -1,5 +1,6 @@
 """Turn requests into calls at the three places where they come in."""
 
+import itertools
 import uuid
 from collections.abc import Callable
 from typing import Final
@@ -32,6 +33,10 @@
 ID_LENGTH: Final = 128
 _MILLI: Final = 1000.0
 
+# Names the requests of callers that name none.
+_PREFIX: Final = uuid.uuid4().hex
+_numbers: Final = itertools.count()
+
 Track = Callable[[Call], Callable[[], None]]
 
 
@@ -119,7 +124,7 @@
     head = request.head
     key = find_header(head.headers, KEY_HEADER)
     return Call(
-        RequestId(find_header(head.headers, REQUEST_HEADER) or uuid.uuid4().hex),
+        RequestId(find_header(head.headers, REQUEST_HEADER) or _name_request()),
         caller,
         service,
         head.method,
@@ -134,6 +139,10 @@
     )
 
 
+def _name_request() -> str:
+    return f"{_PREFIX}-{next(_numbers):x}"
+
+
 def _read_caller(call: Call, clock: Clock) -> None:
     caller = find_header(call.headers, CALLER_HEADER)
     if caller is not None:
--- a/src/fuchsiaspool/filters/classification.py
+++ b/src/fuchsiaspool/filters/classification.py
@@ -17,6 +17,7 @@
             return NotRun(NotRunReason.UNKNOWN_SERVICE, detail)
         operation = service.find_operation(call.method, call.target)
         call.operation = operation.name
+        call.call_class = operation.call_class
         call.idempotent = operation.idempotent
         call.protected = operation.protected
         call.deadline = min(call.deadline, call.start + operation.deadline)
--- a/src/fuchsiaspool/filters/observation.py
+++ b/src/fuchsiaspool/filters/observation.py
@@ -50,6 +50,8 @@
 
 def find_class(policy: Policy, call: Call) -> str:
     """Return the name of a call's class, or `none` where settings know none."""
+    if call.call_class:
+        return call.call_class
     service = policy.services.get(call.service)
     if service is None:
         return "none"
--- a/src/fuchsiaspool/node.py
+++ b/src/fuchsiaspool/node.py
@@ -99,6 +99,7 @@
         self._spawn(self._join_loop)
         self._spawn(self._repeat, PERIOD_SECONDS, self.membership.tick)
         self._spawn(self._repeat, BRIDGE_SECONDS, self._bridging.tick)
+        self._spawn(self._repeat, PERIOD_SECONDS, self.core.histograms.flush)
         self._spawn(self._registry_loop)
         self._spawn(self._watch.loop)
         self._spawn(self._sweep_loop)
--- a/src/fuchsiaspool/settings/tree.py
+++ b/src/fuchsiaspool/settings/tree.py
@@ -3,6 +3,7 @@
 import configparser
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import Final, TypeVar, get_type_hints
 
 import msgspec
@@ -32,6 +33,8 @@
 )
 
 ROOT: Final = SubtreePath("")
+# A change touches one text of many: the others are not parsed again.
+PARSED_TEXTS: Final = 1024
 _MILLI: Final = 1000.0
 _DEFAULT_LIMITS: Final = LimitsSection(
     retry_allowance=2,
@@ -63,8 +66,9 @@
         self.fault = fault
 
 
+@lru_cache(maxsize=PARSED_TEXTS)
 def read_ini(path: str, text: str) -> Result[configparser.ConfigParser, SettingsFault]:
-    """Parse INI text strictly: no doubled sections or options."""
+    """Parse INI text strictly; what is returned is shared and must not change."""
     parser = configparser.ConfigParser(interpolation=None, strict=True)
     try:
         parser.read_string(text, source=path or "root")
@@ -78,17 +82,23 @@
 ) -> Result[K, SettingsFault]:
     """Convert one section to its typed definition."""
     values = dict(parser.items(section))
-    hints = get_type_hints(kind)
-    for field in msgspec.structs.fields(kind):
-        word = values.get(field.encode_name, "").lower()
-        if hints[field.name] is bool and word in parser.BOOLEAN_STATES:
-            values[field.encode_name] = str(parser.BOOLEAN_STATES[word]).lower()
+    for option in _find_booleans(kind):
+        word = values.get(option, "").lower()
+        if word in parser.BOOLEAN_STATES:
+            values[option] = str(parser.BOOLEAN_STATES[word]).lower()
     try:
         return Ok(msgspec.convert(values, kind, strict=False))
     except msgspec.ValidationError as error:
         return Err(SettingsFault(path, section, str(error)))
 
 
+@lru_cache
+def _find_booleans(kind: type[msgspec.Struct]) -> tuple[str, ...]:
+    hints = get_type_hints(kind)
+    fields = msgspec.structs.fields(kind)
+    return tuple(f.encode_name for f in fields if hints[f.name] is bool)
+
+
 def list_ancestors(path: SubtreePath) -> Iterator[SubtreePath]:
     """Yield the root, then each subtree down to `path` itself."""
     yield ROOT
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -12,8 +12,9 @@
 from fuchsiaspool.ids import Incarnation, Revision
 from fuchsiaspool.peers.messages import SettingsTell
 from fuchsiaspool.settings.objects import Bundle
+from fuchsiaspool.standins.fleet import StandinNetwork
 
-from .fakes import FakeNetwork, FakePlatform, Fault
+from .fakes import FakePlatform, Fault
 from .support import TEXTS, make_member
 
 CRASH_OUT_SECONDS = 10
@@ -32,7 +33,7 @@
     def setUp(self):
         random.seed(1)
         self.clock = PausedClock()
-        self.network = FakeNetwork(self.clock)
+        self.network = StandinNetwork(self.clock)
 
     def grow(self, count, centres=CENTRES[:1]):
         peers = []
