Refuse no critical call for learning a server's room

A server with 20 slots where settings said 150 made the limit hit its bound many times a second; each time a call was refused, critical ones too. A drained node never exited: its stop was one of the tasks that the stop ends. A cold start lists the texts instead of reading each.

--- a/src/fuchsiaspool/benchmarks/overhead.py
+++ b/src/fuchsiaspool/benchmarks/overhead.py
@@ -11,7 +11,9 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from operator import sub
 from pathlib import Path
+from statistics import median
 from typing import Any, Final
 
 import gevent
@@ -36,9 +38,12 @@
 PORT_STEP: Final = 10
 LONG_SECONDS: Final = 30.0
 WARM_CALLS: Final = 200
+# The machine is shared: the median over blocks keeps one bad moment out.
+BLOCKS: Final = 10
 READY_SECONDS: Final = 20.0
 HTTP_OK: Final = 200
 _MICRO: Final = 1_000_000
+_MILLI: Final = 1000.0
 _NANO_PER_MILLI: Final = 1_000_000
 
 SETTINGS: Final = {
@@ -59,12 +64,14 @@
     latencies: Any = field(default_factory=make_histogram)
     cpu: float = 0.0
     calls: int = 0
+    medians: list[float] = field(default_factory=list)
+    tails: list[float] = field(default_factory=list)
 
 
 def main() -> int:
     """Measure every rung interleaved and print a row each."""
     parser = argparse.ArgumentParser(description="Measure what forwarding adds.")
-    parser.add_argument("--calls", type=int, default=3000, help="calls a rung")
+    parser.add_argument("--calls", type=int, default=4000, help="calls a rung")
     parser.add_argument("--rate", type=float, default=61.0, help="calls/s a rung")
     options = parser.parse_args()
     tune_collector()
@@ -74,8 +81,11 @@
             _await_ready(send, rung)
         for burst in (1, 10):
             for rung in rungs:
-                rung.latencies, rung.cpu, rung.calls = make_histogram(), 0.0, 0
-            _measure(send, rungs, options.calls, options.rate, burst)
+                rung.cpu, rung.calls = 0.0, 0
+                rung.medians.clear()
+                rung.tails.clear()
+            for _ in range(BLOCKS):
+                _measure_block(send, rungs, options, burst)
             _print_rows(rungs, options.rate * burst)
     return 0
 
@@ -176,6 +186,17 @@
             gevent.sleep(max(0.0, started + 1.0 / rate - clock.now()))
 
 
+def _measure_block(
+    send: Send, rungs: list[Rung], options: argparse.Namespace, burst: int
+) -> None:
+    for rung in rungs:
+        rung.latencies = make_histogram()
+    _measure(send, rungs, options.calls // BLOCKS, options.rate, burst)
+    for rung in rungs:
+        rung.medians.append(rung.latencies.get_value_at_percentile(50) / _MILLI)
+        rung.tails.append(rung.latencies.get_value_at_percentile(99) / _MILLI)
+
+
 def _read_cpu(processes: list[int]) -> float:
     total = 0.0
     for pid in processes:
@@ -184,18 +205,20 @@
 
 
 def _print_rows(rungs: list[Rung], rate: float) -> None:
-    direct = rungs[0].latencies
-    print(f"at {rate:.0f} calls/s a rung, {rungs[0].calls} calls each")
-    base50 = direct.get_value_at_percentile(50) / 1000
-    base99 = direct.get_value_at_percentile(99) / 1000
-    print(f"direct: p50 {base50:.2f} ms, p99 {base99:.2f} ms")
+    direct = rungs[0]
+    print(f"at {rate:.0f} calls/s a rung, {direct.calls} calls each in {BLOCKS} blocks")
+    print(
+        f"direct: p50 {median(direct.medians):.2f} ms, "
+        f"p99 {median(direct.tails):.2f} ms"
+    )
     for rung in rungs[1:]:
-        added50 = rung.latencies.get_value_at_percentile(50) / 1000 - base50
-        added99 = rung.latencies.get_value_at_percentile(99) / 1000 - base99
-        cpu = rung.cpu / rung.calls
+        added50 = median(map(sub, rung.medians, direct.medians))
+        tails = sorted(map(sub, rung.tails, direct.tails))
         print(
-            f"{rung.name}: added p50 {added50:.2f} ms, added p99 {added99:.2f} ms, "
-            f"cpu {cpu:.2f} ms"
+            f"{rung.name}: added p50 {added50:.2f} ms, "
+            f"added p99 {median(tails):.2f} ms "
+            f"(blocks {tails[0]:.2f} to {tails[-1]:.2f}), "
+            f"cpu {rung.cpu / rung.calls:.2f} ms"
         )
 
 
--- a/src/fuchsiaspool/controllers/admission.py
+++ b/src/fuchsiaspool/controllers/admission.py
@@ -61,7 +61,7 @@
     @property
     def free(self) -> bool:
         """Tell if a call would be admitted at once."""
-        return self.in_flight < self.limit.value and not self._queue
+        return self.in_flight + 1 <= self.limit.value and not self._queue
 
     def configure(self, slots: int, queue_target: float, queue_wait: float) -> None:
         """Take new bounds from the settings."""
@@ -142,7 +142,7 @@
         entry.waiter.notify()
 
     def _admit_waiting(self) -> None:
-        while self._queue and self.in_flight < self.limit.value:
+        while self._queue and self.in_flight + 1 <= self.limit.value:
             entry: _Entry = self._queue[0]
             if self._clock.now() + self._estimate > entry.call.deadline:
                 self._drop(entry, NotRunReason.DEADLINE)
--- a/src/fuchsiaspool/entrances.py
+++ b/src/fuchsiaspool/entrances.py
@@ -55,9 +55,9 @@
 
     def handle(request: Request) -> Reply:
         service = _find_service(request.head.headers)
-        if service is None or not is_known(service):
-            # Callers name a node by its address as often as a service by name.
-            service = own if _is_address(service) else service or own
+        if service is None or (_is_host(service) and not is_known(service)):
+            # Callers name a node by address or host as often as a service.
+            service = own
         call = _make_call(request, clock, service, CallerId(request.peer))
         try:
             _read_caller(call, clock)
@@ -175,8 +175,8 @@
     return ServiceName(host.partition(":")[0]) if host else None
 
 
-def _is_address(service: ServiceName | None) -> bool:
-    return service is None or service.replace(".", "").isdigit() or "[" in service
+def _is_host(name: ServiceName) -> bool:
+    return name == "localhost" or "." in name or "[" in name
 
 
 def _run(call: Call, step: Next, track: Track) -> Reply:
--- a/src/fuchsiaspool/filters/admission.py
+++ b/src/fuchsiaspool/filters/admission.py
@@ -20,6 +20,15 @@
     """Return a filter that admits calls in the order of their importance."""
 
     def admit(call: Call, following: Next) -> Outcome:
+        while True:
+            outcome = offer(call, following)
+            if not _was_refused(outcome) or call.deadline <= clock.now():
+                return outcome
+            # The server started nothing: wait for its next slot, as a retry.
+            if not call.body.resendable or not call.allowance.take():
+                return outcome
+
+    def offer(call: Call, following: Next) -> Outcome:
         reason = find_refusal()
         if reason is not None:
             return NotRun(reason)
@@ -59,6 +68,12 @@
     return leave
 
 
+def _was_refused(outcome: Outcome) -> bool:
+    if not isinstance(outcome, NotRun):
+        return False
+    return outcome.reason is NotRunReason.SERVER_REFUSED
+
+
 def _is_busy(call: Call, outcome: Outcome | None) -> bool:
     match outcome:
         case NotRun():
--- a/src/fuchsiaspool/node.py
+++ b/src/fuchsiaspool/node.py
@@ -52,7 +52,10 @@
 _LOG = logging.getLogger(__name__)
 WATCHERS: Final = 2
 JOIN_SECONDS: Final = 1.0
+START_SPREAD_SECONDS: Final = 1.0
 QUIET_SECONDS: Final = 0.02
+# Short, so that what is counted at once stays small and holds up no call.
+FLUSH_SECONDS: Final = 0.05
 # How long the last answers may take to leave once nothing is in flight.
 LINGER_SECONDS: Final = 0.2
 
@@ -99,7 +102,7 @@
         self._spawn(self._join_loop)
         self._spawn(self._repeat, PERIOD_SECONDS, self.membership.tick)
         self._spawn(self._repeat, BRIDGE_SECONDS, self._bridging.tick)
-        self._spawn(self._repeat, PERIOD_SECONDS, self.core.histograms.flush)
+        self._spawn(self._repeat, FLUSH_SECONDS, self.core.histograms.flush)
         self._spawn(self._registry_loop)
         self._spawn(self._watch.loop)
         self._spawn(self._sweep_loop)
@@ -265,13 +268,16 @@
             self._export_histograms,
             lambda: SettingsExport(self.keeper.revision, self.keeper.bundle.texts),
             lambda: list(core.members.list_all()),
-            lambda: self._spawn(self.stop),
+            # Not one of the tasks that the stop itself ends.
+            lambda: gevent.spawn(self.stop),
         )
         self._control = ControlServer(options.control, source)
 
     # What runs beside the calls.
 
     def _join_loop(self) -> None:
+        # A whole data centre may be starting: nobody reads at the same moment.
+        gevent.sleep(START_SPREAD_SECONDS * self._chance.random())
         self._registry.read_members()
         self._watch.load()
         while True:
@@ -289,7 +295,7 @@
 
     def _registry_loop(self) -> None:
         while True:
-            held = self._registry.announce()
+            held = self.state is NodeState.LEAVING or self._registry.announce()
             if self._is_bridge():
                 self._registry.read_members()
             pause = RENEW_SECONDS if held else RENEW_SECONDS / 10
--- a/src/fuchsiaspool/settings/store.py
+++ b/src/fuchsiaspool/settings/store.py
@@ -35,6 +35,9 @@
 from .tree import SettingsFault, build_policy, find_owner, find_token_hash
 
 REBASE_TRIES: Final = 10
+TEXTS_PREFIX: Final = f"{PREFIX}texts/"
+# More missing texts than this are read by one list: the platform counts calls.
+SINGLE_READS: Final = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,10 +103,11 @@
         root = decode_root(found.value.value)
     except msgspec.DecodeError:
         return Err(ReadFault.UNAVAILABLE)
+    held = _read_many(platform, root, known or {})
     texts: dict[SubtreePath, str] = {}
     for path, ref in root.subtrees.items():
-        if known is not None and ref.object in known:
-            texts[path] = known[ref.object]
+        if ref.object in held:
+            texts[path] = held[ref.object]
             continue
         text = platform.get(ref.object)
         if isinstance(text, Err):
@@ -115,6 +119,19 @@
     return Ok(LoadedTree(root, found.value.version, bundle))
 
 
+def _read_many(
+    platform: Platform, root: TreeRoot, known: Mapping[ObjectKey, str]
+) -> Mapping[ObjectKey, str]:
+    """Return the known texts, and all others by one list if many are missing."""
+    missing = sum(1 for ref in root.subtrees.values() if ref.object not in known)
+    if missing <= SINGLE_READS:
+        return known
+    listed = platform.list_prefix(TEXTS_PREFIX)
+    if isinstance(listed, Err):
+        return known
+    return {stored.key: stored.value.decode() for stored in listed.value.items}
+
+
 def apply_proposal(
     clock: Clock, platform: Platform, proposal: Proposal, nonce: Callable[[], Nonce]
 ) -> Result[Revision, ApplyFault]:
@@ -171,7 +188,7 @@
     for path, text in proposal.texts.items():
         # The nonce keeps names from being used again, so that pruning is safe.
         digest = hash_text(text)
-        key = ObjectKey(f"{PREFIX}texts/{digest}-{nonce}")
+        key = ObjectKey(f"{TEXTS_PREFIX}{digest}-{nonce}")
         change = Change(key, text.encode(), None, lambda value: True)
         outcome = write_settled(clock, platform, change)
         if not isinstance(outcome, Applied | Conflict):
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,6 +1,7 @@
 """A fake of the platform, on the paused clock."""
 
 import random
+from collections import Counter, defaultdict
 from enum import Enum
 
 from fuchsiaspool.platform.objects import (
@@ -33,12 +34,18 @@
         self.store = ObjectStore()
         self.chance = random.Random(seed)
         self.writes = 0
+        self.requests = defaultdict(Counter)
+
+    def count(self, kind):
+        """Count a request in the second it came in."""
+        self.requests[kind][int(self.clock.now())] += 1
 
     def connect(self, choose_fault=lambda: Fault.NONE, gate=lambda: None):
         """Return the object API for one client; `gate` may block it for ever."""
 
         def get(key):
             gate()
+            self.count("read")
             self.clock.sleep(self.chance.uniform(0.001, 0.01))
             if choose_fault() is not Fault.NONE:
                 return Err(ReadFault.UNAVAILABLE)
@@ -48,6 +55,7 @@
         def write(action):
             gate()
             self.writes += 1
+            self.count("write")
             self.clock.sleep(self.chance.uniform(0.001, 0.01))
             fault = choose_fault()
             if fault is Fault.DOWN:
@@ -73,6 +81,7 @@
             return write(lambda: self.store.delete(key, version))
 
         def list_prefix(prefix):
+            self.count("read")
             if choose_fault() is not Fault.NONE:
                 return Err(ReadFault.UNAVAILABLE)
             return Ok(self.store.list_prefix(prefix))
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -89,6 +89,26 @@
         done = sum(isinstance(o, Answered) for _, o in bench.ended)
         self.assertGreaterEqual(done, 0.95 * CAPACITY * 20.0)
 
+    def test_a_server_with_fewer_slots_than_stated_refuses_no_critical_call(self):
+        bench = Bench()
+        real_slots, busy = 3, []
+        serve = bench.serve
+
+        def refuse_or_serve(call):
+            if len(busy) >= real_slots:
+                return NotRun(NotRunReason.SERVER_REFUSED)
+            busy.append(call)
+            outcome = serve(call)
+            busy.remove(call)
+            return outcome
+
+        bench.serve = refuse_or_serve
+        choose = functools.partial(choose_priority, 0.15)
+        bench.offer(CAPACITY, 20.0, choose)
+        self.assertGreaterEqual(bench.share(True)[0], 0.99)
+        done = sum(isinstance(o, Answered) for _, o in bench.ended)
+        self.assertGreaterEqual(done, 0.9 * real_slots / SERVICE_SECONDS * 20.0)
+
     def test_the_less_important_are_shed_first(self):
         bench = Bench()
         bench.offer(CAPACITY * 3, 20.0, lambda chance: chance.choice((0, 3, 6)))
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -157,7 +157,7 @@
         node = self.start()
         code, out, _ = self.run_ctl("drain", node.options.control)
         self.assertEqual(code, 0, out)
-        node.stopped.wait(5)
+        self.assertTrue(node.stopped.wait(5))
         self.assertEqual(node.state.value, "stopped")
 
     def test_settings_in_force_on_a_node_are_shown(self):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,6 +1,7 @@
 import random
 import unittest
 
+from fuchsiaspool.benchmarks.capacity import make_tree
 from fuchsiaspool.clock import PausedClock
 from fuchsiaspool.controllers.members import MemberState, MemberTable
 from fuchsiaspool.controllers.registry import (
@@ -9,16 +10,22 @@
     TRUST_SECONDS,
     Registry,
 )
-from fuchsiaspool.ids import Incarnation, Revision
+from fuchsiaspool.controllers.settings import SettingsKeeper
+from fuchsiaspool.ids import Incarnation, Nonce, Revision, TeamName
+from fuchsiaspool.node import START_SPREAD_SECONDS
 from fuchsiaspool.peers.messages import SettingsTell
 from fuchsiaspool.settings.objects import Bundle
+from fuchsiaspool.settings.store import Proposal, apply_proposal
 from fuchsiaspool.standins.fleet import StandinNetwork
+from fuchsiaspool.watching import SettingsWatch
 
 from .fakes import FakePlatform, Fault
 from .support import TEXTS, make_member
 
 CRASH_OUT_SECONDS = 10
 IN_FORCE_SECONDS = 7
+READS_A_SECOND = 2000
+WRITES_A_SECOND = 300
 CENTRES = (
     ("north-1", "north"),
     ("north-2", "north"),
@@ -282,6 +289,32 @@
         self.clock.run(near.read_members)
         self.assertEqual(table.find("far").state, DEAD)
 
+    def test_a_cold_start_of_a_data_centre_stays_within_the_platforms_rates(self):
+        platform = self.fake.connect()
+        proposal = Proposal({}, make_tree(110), TeamName(""))
+        nonce = iter(range(9)).__next__
+        self.clock.run(
+            apply_proposal, self.clock, platform, proposal, lambda: Nonce(f"{nonce()}")
+        )
+        chance, ready = random.Random(1), []
+        self.fake.requests.clear()
+
+        def start(number):
+            self.clock.sleep(START_SPREAD_SECONDS * chance.random())
+            registry, table = self.make(f"n{number}", incarnation=number)
+            registry.read_members()
+            keeper = SettingsKeeper(self.clock, lambda p: True, lambda to, body: None)
+            SettingsWatch(self.clock, platform, keeper, lambda: False, chance).load()
+            registry.announce()
+            ready.append(keeper.revision)
+
+        for number in range(185):
+            self.clock.spawn(start, number)
+        self.clock.advance(10.0)
+        self.assertEqual(ready, [1] * 185)
+        self.assertLessEqual(max(self.fake.requests["read"].values()), READS_A_SECOND)
+        self.assertLessEqual(max(self.fake.requests["write"].values()), WRITES_A_SECOND)
+
     def test_a_platform_that_is_down_is_said_to_be(self):
         first, _ = self.make("a", faults=[Fault.DOWN] * 9)
         self.assertFalse(self.announce(first))
