Ask contacts and platform at the same time on start

Cause: a replaced node read the platform first, with a deadline of 1 s and three tries for each read, before it asked a peer; until it had settings its entrance called every service unknown. Change: both are asked at once; without settings the answer is not-ready. Retries are counted once, at the entrance.

--- a/src/fuchsiaspool/filters/classification.py
+++ b/src/fuchsiaspool/filters/classification.py
@@ -11,7 +11,10 @@
     """Return a filter that looks the call up in the settings."""
 
     def classify(call: Call, following: Next) -> Outcome:
-        service = get_policy().services.get(call.service)
+        policy = get_policy()
+        service = policy.services.get(call.service)
+        if service is None and policy.revision == 0:
+            return NotRun(NotRunReason.NOT_READY, "no settings yet")
         if service is None:
             detail = f"no service {call.service!r} in the settings"
             return NotRun(NotRunReason.UNKNOWN_SERVICE, detail)
--- a/src/fuchsiaspool/filters/observation.py
+++ b/src/fuchsiaspool/filters/observation.py
@@ -27,8 +27,11 @@
         seconds = clock.now() - call.start
         name = find_class(get_policy(), call)
         counts = counters.find(name)
-        counts.retries += call.allowance.charged
-        counts.most_retries = max(counts.most_retries, call.allowance.charged)
+        if call.from_outside:
+            # Those of nested calls are in their request's own count.
+            retries = call.allowance.charged
+            counts.retries += retries
+            counts.most_retries = max(counts.most_retries, retries)
         match outcome:
             case Answered():
                 histograms.record(Measure.LATENCY, name, call.caller, seconds)
--- a/src/fuchsiaspool/node.py
+++ b/src/fuchsiaspool/node.py
@@ -171,21 +171,28 @@
     def _join_loop(self) -> None:
         # A whole data centre may be starting: nobody reads at the same moment.
         gevent.sleep(START_SPREAD_SECONDS * self._chance.random())
-        self.parts.registry.read_members()
-        self.parts.watch.load()
+        reading = gevent.spawn(self._read_platform)
         while True:
-            self.membership.join(self.options.contacts)
-            for address in self.options.contacts:
-                self.parts.bus.send(address, SettingsAsk(self.keeper.revision))
+            self._ask_contacts()
             gevent.sleep(JOIN_SECONDS)
             if self.keeper.revision > 0:
                 break
-            self.parts.watch.load()
             _LOG.info("no settings yet")
+            if reading.dead:
+                reading = gevent.spawn(self._read_platform)
         if self.state is NodeState.STARTING:
             self.state = NodeState.READY
             _LOG.info("ready", extra={"revision": self.keeper.revision})
 
+    def _read_platform(self) -> None:
+        self.parts.registry.read_members()
+        self.parts.watch.load()
+
+    def _ask_contacts(self) -> None:
+        self.membership.join(self.options.contacts)
+        for address in self.options.contacts:
+            self.parts.bus.send(address, SettingsAsk(self.keeper.revision))
+
     def _registry_loop(self) -> None:
         while True:
             held = self.state is NodeState.LEAVING or self.parts.registry.announce()
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -5,12 +5,14 @@
 from hypothesis import given, strategies as st
 
 from fuchsiaspool.bodies import Body
+from fuchsiaspool.chains import PolicyHolder
 from fuchsiaspool.clock import PausedClock
 from fuchsiaspool.controllers.balancer import EJECT_SHARE, Balancer, choose_subset
 from fuchsiaspool.controllers.buckets import TokenBucket
 from fuchsiaspool.controllers.members import MemberTable
 from fuchsiaspool.controllers.retries import RATIO_DEPTH, Grants, RetryRatio
 from fuchsiaspool.filters.budget import make_budget
+from fuchsiaspool.filters.classification import make_classification
 from fuchsiaspool.filters.routing import make_routing
 from fuchsiaspool.outcomes import (
     Answered,
@@ -143,6 +145,16 @@
             self.assertEqual({m.node for m in subset}, {m.node for m in again})
 
 
+class ClassificationTests(RoutingCase):
+    def test_before_settings_have_come_a_node_says_that_it_is_not_ready(self):
+        holder = PolicyHolder()
+        classify = make_classification(holder.get)
+        call = make_call(self.clock, service="nowhere")
+        self.assertEqual(classify(call, None).reason, NotRunReason.NOT_READY)
+        holder.put(self.policy)
+        self.assertEqual(classify(call, None).reason, NotRunReason.UNKNOWN_SERVICE)
+
+
 class RetryTests(RoutingCase):
     def test_attempts_stay_within_the_allowance(self):
         for allowance in range(4):
