--- a/src/fuchsiaspool/filters/recording.py
+++ b/src/fuchsiaspool/filters/recording.py
@@ -6,7 +6,7 @@
 from ..clock import Clock
 from ..controllers.balancer import Place
 from ..outcomes import Answered, NotRun, Outcome
-from ..replay.trace import RequestLine
+from ..replay.lines import RequestLine
 
 MILLI = 1000.0
 DIGITS = 3
--- a/src/fuchsiaspool/node.py
+++ b/src/fuchsiaspool/node.py
@@ -25,7 +25,7 @@
 from .outcomes import NotRunReason
 from .parts import NodeParts
 from .peers.messages import SettingsAsk
-from .replay.trace import RequestLine
+from .replay.lines import RequestLine
 from .reports import count_classes, count_members, export_histograms
 
 _LOG = logging.getLogger(__name__)
--- a/src/fuchsiaspool/parts.py
+++ b/src/fuchsiaspool/parts.py
@@ -30,7 +30,7 @@
 from .peers.transport import PeerTransport
 from .peers.wiring import wire_members, wire_operations
 from .platform.client import make_no_platform, make_platform
-from .replay.trace import RequestLine
+from .replay.lines import RequestLine
 from .watching import SettingsWatch
 
 # How many nodes of a data centre hold a watch, and how many bridge to others.
--- a/src/fuchsiaspool/replay/arrivals.py
+++ b/src/fuchsiaspool/replay/arrivals.py
@@ -7,7 +7,8 @@
 
 from ..ids import CallerId, DataCentre, OperationKey, RequestId
 from ..operations.keys import make_key
-from .trace import EventKind, EventLine, LoadLine, OperationLine, RequestLine, Trace
+from .lines import EventKind, EventLine, LoadLine, OperationLine, RequestLine
+from .trace import Trace
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/fuchsiaspool/replay/backends.py
@@ -0,0 +1,122 @@
+"""Serve calls on the stand-in servers of a replay, and make the calls beneath."""
+
+from ..allowance import Allowance
+from ..bodies import Body
+from ..calls import Call, Next
+from ..clock import Clock
+from ..ids import CallerId, RequestId
+from ..nesting import inherit
+from ..outcomes import (
+    NO_THRESHOLD,
+    Answered,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Unknown,
+    UnknownReason,
+)
+from .lines import CallTree
+from .tally import Tally
+from .world import Server, World
+
+NO_REQUEST = RequestId("")
+NO_CALLER = CallerId("")
+HTTP_OK = 200
+HTTP_UNAVAILABLE = 503
+
+
+class Backend:
+    """Hold one server of the world as its node sees it."""
+
+    def __init__(
+        self, world: World, tally: Tally, server: Server, outbound: Next
+    ) -> None:
+        self._world = world
+        self._tally = tally
+        self._clock = world.clock
+        self._server = server
+        self._outbound = outbound
+
+    def dispatch(self, call: Call) -> Outcome:
+        """Serve a call in a slot; refuse it where there is none."""
+        server = self._server
+        tree = self._world.trees[(call.service, call.method, call.target)]
+        if server.down:
+            return NotRun(NotRunReason.CONNECT_FAILED)
+        if server.busy >= server.slots:
+            return NotRun(NotRunReason.SERVER_REFUSED)
+        server.busy += 1
+        try:
+            return self._serve(tree, call)
+        finally:
+            server.busy -= 1
+
+    def _serve(self, tree: CallTree, call: Call) -> Outcome:
+        if call.protected and call.key is not None:
+            self._tally.runs[call.key] += 1
+        if not self._world.occupy(self._server, tree, call):
+            if call.cancellation.cancelled:
+                return Unknown(UnknownReason.CANCELLED)
+            return Unknown(UnknownReason.RESET)
+        status, threshold = HTTP_OK, NO_THRESHOLD
+        outcomes = self._call_children(tree, call)
+        for outcome in outcomes:
+            threshold = min(threshold, outcome.threshold)
+            if not isinstance(outcome, Answered) or outcome.status != HTTP_OK:
+                status = HTTP_UNAVAILABLE
+        if self._server.down:
+            return Unknown(UnknownReason.RESET)
+        body = Body()
+        body.length = tree.answer_bytes
+        return Answered(status, [], body, threshold=threshold)
+
+    def _call_children(self, tree: CallTree, call: Call) -> list[Outcome]:
+        outcomes: list[Outcome] = []
+        if tree.parallel and len(tree.children) > 1:
+            waiter = self._clock.waiter()
+
+            def run(child: CallTree) -> None:
+                outcomes.append(self._call_child(child, call))
+                if len(outcomes) == len(tree.children):
+                    waiter.notify()
+
+            for child in tree.children:
+                self._clock.spawn(run, child)
+            waiter.wait()
+            return outcomes
+        for child in tree.children:
+            outcome = self._call_child(child, call)
+            outcomes.append(outcome)
+            if not isinstance(outcome, Answered) or outcome.status != HTTP_OK:
+                break
+        return outcomes
+
+    def _call_child(self, tree: CallTree, parent: Call) -> Outcome:
+        remaining = parent.deadline - self._clock.now()
+        call = make_call(self._clock, tree, remaining)
+        lent = inherit(call, parent)
+        forget = parent.cancellation.add(call.cancellation.cancel)
+        outcome = self._outbound(call)
+        call.finish(True)
+        forget()
+        parent.allowance.settle(lent, call.allowance.charged)
+        return outcome
+
+
+def make_call(clock: Clock, tree: CallTree, seconds: float) -> Call:
+    """Make a call that has so many seconds."""
+    now = clock.now()
+    body = Body()
+    body.length = tree.request_bytes
+    return Call(
+        NO_REQUEST,
+        NO_CALLER,
+        tree.service,
+        tree.method,
+        tree.target,
+        [],
+        body,
+        now,
+        now + seconds,
+        Allowance(0),
+    )
--- a/src/fuchsiaspool/replay/baselines.py
+++ b/src/fuchsiaspool/replay/baselines.py
@@ -6,9 +6,9 @@
 
 from ..clock import Waiter
 from ..ids import DataCentre, RequestId
+from .lines import CallTree, EventKind, EventLine
 from .system import Submission
 from .tally import Ending, Tally
-from .trace import CallTree, EventKind, EventLine
 from .world import MILLI, Server, World
 
 HOP_BACKOFF_SECONDS = 0.05
--- a/src/fuchsiaspool/replay/ideal.py
+++ b/src/fuchsiaspool/replay/ideal.py
@@ -5,7 +5,8 @@
 from ..ids import OperationName, ServiceName
 from ..settings.policy import Policy
 from .arrivals import list_arrivals
-from .trace import CallTree, Trace
+from .lines import CallTree
+from .trace import Trace
 from .world import MILLI
 
 
--- a/src/fuchsiaspool/replay/system.py
+++ b/src/fuchsiaspool/replay/system.py
@@ -6,8 +6,8 @@
 
 from ..ids import RequestId
 from .arrivals import Arrival, list_arrivals
+from .lines import EventKind, EventLine
 from .tally import Ending, Tally
-from .trace import EventKind, EventLine
 from .world import Server, World
 
 # Lets the last requests end before the count is taken.
--- a/src/fuchsiaspool/replay/trace.py
+++ b/src/fuchsiaspool/replay/trace.py
@@ -1,196 +1,29 @@
-"""Define the lines of a trace and read them."""
+"""Read traces, and begin new ones."""
 
 from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass, field
-from enum import Enum
 from pathlib import Path
-from typing import Annotated, BinaryIO, Final
+from typing import BinaryIO, Final
 
 import msgspec
-from msgspec import Meta, Struct
 
-from ..ids import CallerId, ClassName, DataCentre, OperationName, Region, ServiceName
+from ..ids import DataCentre, OperationName, Region, ServiceName
 from ..results import Err, Ok, Result
-
-VERSION: Final = 1
-RECORDED_SECONDS: Final = 86_400.0
-Seconds = Annotated[float, Meta(ge=0.0, le=200_000.0)]
-Milliseconds = Annotated[float, Meta(ge=0.0, le=3_600_000.0)]
-Share = Annotated[float, Meta(ge=0.0, le=1.0)]
-
-
-class TraceLine(
-    Struct, frozen=True, kw_only=True, forbid_unknown_fields=True, rename="kebab"
-):
-    """Share what all lines have in common: unknown fields are refused."""
-
-
-class TraceHeader(TraceLine, frozen=True, kw_only=True, tag="trace", tag_field="kind"):
-    """Name the trace and say how long it is replayed; `warm` is not judged."""
-
-    version: Annotated[int, Meta(ge=VERSION, le=VERSION)]
-    name: str
-    settings: str
-    seconds: Seconds
-    warm: Seconds = 5.0
-    seed: int = 1
-
-
-class IncludeLine(
-    TraceLine, frozen=True, kw_only=True, tag="include", tag_field="kind"
-):
-    """Read the lines of another file here, relative to this one."""
-
-    path: str
-
-
-class LinkLine(TraceLine, frozen=True, kw_only=True, tag="link", tag_field="kind"):
-    """Set one-way delays and what the link between regions carries."""
-
-    client_ms: Milliseconds = 1.0
-    near_ms: Milliseconds = 0.5
-    far_ms: Milliseconds = 30.0
-    far_mbit: Annotated[float, Meta(gt=0.0)] = 30.0
-    platform_ms: Milliseconds = 5.0
-
-
-class CentreLine(
-    TraceLine, frozen=True, kw_only=True, tag="data-centre", tag_field="kind"
-):
-    """Place a data centre in a region."""
-
-    name: DataCentre
-    region: Region
-
-
-class ServiceLine(
-    TraceLine, frozen=True, kw_only=True, tag="service", tag_field="kind"
-):
-    """Place servers of a service; `real_slots` is what they hold in truth."""
-
-    name: ServiceName
-    servers: dict[DataCentre, int]
-    slots: Annotated[int, Meta(ge=1)]
-    real_slots: Annotated[int, Meta(ge=0)] = 0
-    cold_answers: Annotated[int, Meta(ge=0)] = 0
-    cold_factor: Annotated[float, Meta(ge=1.0)] = 1.0
-
-
-class CallTree(
-    Struct, frozen=True, kw_only=True, forbid_unknown_fields=True, rename="kebab"
-):
-    """Describe a call and the calls that serving it causes, in order."""
-
-    service: ServiceName
-    method: str = "GET"
-    target: str = "/"
-    own_ms: Milliseconds = 10.0
-    request_bytes: Annotated[int, Meta(ge=0)] = 200
-    answer_bytes: Annotated[int, Meta(ge=0)] = 1000
-    parallel: bool = False
-    children: list["CallTree"] = []
-
-
-class OperationLine(
-    TraceLine, frozen=True, kw_only=True, tag="operation", tag_field="kind"
-):
-    """Describe what callers ask for."""
-
-    name: OperationName
-    call_class: ClassName
-    tree: CallTree
-    deadline_ms: Milliseconds = 2000.0
-    protected: bool = False
-
-
-class LoadLine(TraceLine, frozen=True, kw_only=True, tag="load", tag_field="kind"):
-    """Send requests at random moments, `rate` a second in all."""
-
-    at: Seconds = 0.0
-    until: Seconds
-    rate: Annotated[float, Meta(gt=0.0)]
-    mix: dict[OperationName, float]
-    centres: dict[DataCentre, float] = {}
-    callers: Annotated[int, Meta(ge=1)] = 50
-    resends: Annotated[int, Meta(ge=0, le=20)] = 0
-    backoff_ms: Milliseconds = 100.0
-
-
-class RequestLine(
-    TraceLine, frozen=True, kw_only=True, tag="request", tag_field="kind"
-):
-    """Send one request at one moment; `outcome` is what the recorder saw."""
-
-    at: Seconds
-    operation: OperationName
-    caller: CallerId
-    data_centre: DataCentre
-    deadline_ms: Milliseconds
-    service_ms: Milliseconds | None = None
-    answer_bytes: int | None = None
-    outcome: str = ""
-
-
-class EventKind(Enum):
-    """Name what may happen."""
-
-    SLOW_DOWN = "slow-down"
-    SURGE = "surge"
-    CRASH = "crash"
-    DRAIN = "drain"
-    COLD_START = "cold-start"
-    PARTITION = "partition"
-    PLATFORM_OUTAGE = "platform-outage"
-    REPORT_LIE = "report-lie"
-
-
-class EventLine(TraceLine, frozen=True, kw_only=True, tag="event", tag_field="kind"):
-    """Let something happen to a service, a server, a data centre or a link.
-
-    `factor` multiplies service times (slow-down), rates (surge) or what reports
-    say (report-lie); `index` picks one server of a data centre.
-    """
-
-    what: EventKind
-    at: Seconds
-    until: Seconds = 0.0
-    service: ServiceName = ServiceName("")
-    data_centre: DataCentre = DataCentre("")
-    region: Region = Region("")
-    index: int | None = None
-    factor: Annotated[float, Meta(ge=0.0)] = 1.0
-    cause: bool = True
-
-
-class ExpectLine(TraceLine, frozen=True, kw_only=True, tag="expect", tag_field="kind"):
-    """State outcomes; shares are of what was offered in the judged time.
-
-    `of_ideal` is a share of what an ideal that admits exactly the capacity, the
-    most important first, would deliver between `at` and `until`.
-    """
-
-    call_class: ClassName | None = None
-    goodput: Share | None = None
-    of_ideal: Share | None = None
-    recovery: Seconds | None = None
-    retries: Annotated[int, Meta(ge=0)] | None = None
-    doubled: Annotated[int, Meta(ge=0)] | None = None
-    false_not_run: Annotated[int, Meta(ge=0)] | None = None
-    at: Seconds = 0.0
-    until: Seconds = 0.0
-
-
-Line = (
-    TraceHeader
-    | IncludeLine
-    | LinkLine
-    | CentreLine
-    | ServiceLine
-    | OperationLine
-    | LoadLine
-    | RequestLine
-    | EventLine
-    | ExpectLine
+from .lines import (
+    RECORDED_SECONDS,
+    VERSION,
+    CallTree,
+    CentreLine,
+    EventLine,
+    ExpectLine,
+    IncludeLine,
+    Line,
+    LinkLine,
+    LoadLine,
+    OperationLine,
+    RequestLine,
+    ServiceLine,
+    TraceHeader,
 )
 
 _decoder: Final = msgspec.json.Decoder(Line)
--- a/src/fuchsiaspool/replay/treatment.py
+++ b/src/fuchsiaspool/replay/treatment.py
@@ -3,21 +3,18 @@
 import msgspec
 
 from ..allowance import Allowance
-from ..bodies import Body
 from ..calls import Call
 from ..chains import Core, CoreParts, build_core
 from ..clock import Waiter
 from ..controllers.balancer import Place
 from ..controllers.members import Member, MemberState
 from ..filters.claim import make_claim
-from ..ids import CallerId, Incarnation, NodeId, Nonce, RequestId, ServiceName
-from ..nesting import inherit
+from ..ids import Incarnation, NodeId, Nonce
 from ..operations.answers import make_answer_store
 from ..operations.changes import Change, Verdict
 from ..operations.claims import Claims
 from ..operations.commits import GroupCommitter
 from ..outcomes import (
-    NO_THRESHOLD,
     Answered,
     NotRun,
     NotRunReason,
@@ -29,15 +26,12 @@
 from ..settings.policy import Policy
 from ..standins.memory import make_memory_platform
 from ..standins.platform import ObjectStore
+from .backends import HTTP_OK, Backend, make_call
+from .lines import EventKind, EventLine
 from .system import Submission
 from .tally import Ending, Tally
-from .trace import CallTree, EventKind, EventLine
 from .world import MILLI, Server, World
 
-NO_REQUEST = RequestId("")
-NO_CALLER = CallerId("")
-HTTP_OK = 200
-HTTP_UNAVAILABLE = 503
 CONNECT_SECONDS = 1.0
 # What heartbeats among peers take, by their own tests.
 NEWS_SECONDS = 0.5
@@ -103,12 +97,15 @@
         )
         region = self._world.trace.centres[server.centre]
         place = Place(server.node, server.service, server.centre, region)
+        backend = Backend(
+            self._world, self._tally, server, lambda call: node.core.outbound(call)
+        )
         return build_core(
             CoreParts(
                 self._clock,
                 place,
                 self._world.chance,
-                lambda call: self._dispatch(node, call),
+                backend.dispatch,
                 lambda member, call: self._forward(node, member, call),
                 lambda: NotRunReason.LEAVING if server.leaving else None,
                 make_claim(self._clock, claims),
@@ -119,7 +116,7 @@
         """Serve one attempt; block until its caller has its ending."""
         arrival, world = submission.arrival, self._world
         tree = arrival.operation.tree
-        call = self._make_call(tree, tree.service, arrival.deadline)
+        call = make_call(self._clock, tree, arrival.deadline)
         call.request = arrival.request
         call.caller = arrival.caller
         call.key = arrival.key
@@ -256,89 +253,6 @@
         inbound.expires_wall = call.expires_wall
         return inbound
 
-    def _dispatch(self, node: SimNode, call: Call) -> Outcome:
-        server = node.server
-        tree = self._world.trees[(call.service, call.method, call.target)]
-        if server.down:
-            return NotRun(NotRunReason.CONNECT_FAILED)
-        if server.busy >= server.slots:
-            return NotRun(NotRunReason.SERVER_REFUSED)
-        server.busy += 1
-        try:
-            return self._serve(node, tree, call)
-        finally:
-            server.busy -= 1
-
-    def _serve(self, node: SimNode, tree: CallTree, call: Call) -> Outcome:
-        if call.protected and call.key is not None:
-            self._tally.runs[call.key] += 1
-        if not self._world.occupy(node.server, tree, call):
-            if call.cancellation.cancelled:
-                return Unknown(UnknownReason.CANCELLED)
-            return Unknown(UnknownReason.RESET)
-        status, threshold = HTTP_OK, NO_THRESHOLD
-        outcomes = self._call_children(node, tree, call)
-        for outcome in outcomes:
-            threshold = min(threshold, outcome.threshold)
-            if not isinstance(outcome, Answered) or outcome.status != HTTP_OK:
-                status = HTTP_UNAVAILABLE
-        if node.server.down:
-            return Unknown(UnknownReason.RESET)
-        body = Body()
-        body.length = tree.answer_bytes
-        return Answered(status, [], body, threshold=threshold)
-
-    def _call_children(
-        self, node: SimNode, tree: CallTree, call: Call
-    ) -> list[Outcome]:
-        outcomes: list[Outcome] = []
-        if tree.parallel and len(tree.children) > 1:
-            waiter = self._clock.waiter()
-
-            def run(child: CallTree) -> None:
-                outcomes.append(self._call_child(node, child, call))
-                if len(outcomes) == len(tree.children):
-                    waiter.notify()
-
-            for child in tree.children:
-                self._clock.spawn(run, child)
-            waiter.wait()
-            return outcomes
-        for child in tree.children:
-            outcome = self._call_child(node, child, call)
-            outcomes.append(outcome)
-            if not isinstance(outcome, Answered) or outcome.status != HTTP_OK:
-                break
-        return outcomes
-
-    def _call_child(self, node: SimNode, tree: CallTree, parent: Call) -> Outcome:
-        remaining = parent.deadline - self._clock.now()
-        call = self._make_call(tree, tree.service, remaining)
-        lent = inherit(call, parent)
-        forget = parent.cancellation.add(call.cancellation.cancel)
-        outcome = node.core.outbound(call)
-        call.finish(True)
-        forget()
-        parent.allowance.settle(lent, call.allowance.charged)
-        return outcome
-
-    def _make_call(self, tree: CallTree, service: ServiceName, deadline: float) -> Call:
-        now = self._clock.now()
-        body = Body()
-        body.length = tree.request_bytes
-        return Call(
-            NO_REQUEST,
-            NO_CALLER,
-            service,
-            tree.method,
-            tree.target,
-            [],
-            body,
-            now,
-            now + deadline,
-            Allowance(0),
-        )
-
     def _commit(self, shard: ObjectKey, change: Change) -> Verdict:
         return self._committer.commit(shard, change)
 
--- a/src/fuchsiaspool/replay/verdicts.py
+++ b/src/fuchsiaspool/replay/verdicts.py
@@ -4,8 +4,9 @@
 
 from ..settings.policy import Policy
 from .ideal import compute_ideal
+from .lines import EventLine, ExpectLine
 from .tally import Tally
-from .trace import EventLine, ExpectLine, Trace
+from .trace import Trace
 
 
 @dataclass(frozen=True, slots=True)
