Show that cancellation and deadlines travel to the next node

Cause: both were shown for one node only. Change: two nodes in a row; a caller that leaves, and a timeout, free the slot at the far one; the server sees what is left of the deadline and no mesh header. Figures: in flight at the far node 1 before the caller leaves, 0 within 0.1 s.

--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -8,11 +8,13 @@
 from fuchsiaspool.bodies import Body
 from fuchsiaspool.http.listeners import listen
 from fuchsiaspool.http.server import HttpServer, Reply
+from fuchsiaspool.ids import ServiceName, SubtreePath
 from fuchsiaspool.outcomes import Answered
 from fuchsiaspool.standins.server import ServerPlan, ServerStandin
 
-from .support import ScriptedServer, make_options, start_node, take_address
+from .support import TEXTS, ScriptedServer, make_options, start_node, take_address
 
+QUOTA_PATH = SubtreePath("agency/quota")
 LARGE = 200 * 1024 * 1024
 PIECE = 64 * 1024
 GROWTH_KB = 20 * 1024
@@ -186,6 +188,50 @@
         self.assertEqual(node.core.admission.queued, 0)
         self.assertEqual(self.server.record.started, 4)
 
+    def start_two(self, handle=None, service_time=0.5):
+        """Start a node of lots whose callers ask for quota, at the next node."""
+        plan = ServerPlan(slots=4, service_time=service_time, answer_size=5)
+        far = self.start(handle, plan, node="far")
+        lots = TEXTS[QUOTA_PATH].replace("quota]", "lots]")
+        lots = lots.replace("team = quota", "team = lots")
+        texts = {**TEXTS, SubtreePath("agency/lots"): lots}
+        options = make_options(take_address(), node="near", service=ServiceName("lots"))
+        near = start_node(self, options, texts)
+        near.core.members.merge(far.membership.own)
+        return near, far
+
+    def test_cancellation_and_deadline_travel_to_the_next_node(self):
+        near, far = self.start_two()
+        address = near.options.callers
+        socket = gevent.socket.create_connection((address.host, address.port))
+        socket.sendall(get("/quota/1"))
+        gevent.sleep(0.1)
+        self.assertEqual(far.core.admission.in_flight, 1)
+        socket.close()
+        gevent.sleep(0.1)
+        self.assertEqual(far.core.admission.in_flight, 0)
+        received = exchange(
+            address, get("/quota/1", "connection: close", "x-timeout-ms: 60")
+        )
+        self.read_refusal(received, 504, "timeout")
+        gevent.sleep(0.05)
+        self.assertEqual(far.core.admission.in_flight, 0)
+
+    def test_the_deadline_left_reaches_the_server_and_internal_headers_do_not(self):
+        seen = []
+
+        def handle(request):
+            seen.append(dict(request.head.headers))
+            return Reply(Answered(200, [], Body(b"ok")), [], lambda whole: None)
+
+        near, _ = self.start_two(handle)
+        lines = ("connection: close", "x-timeout-ms: 400", "x-request-id: r-7")
+        received = exchange(near.options.callers, get("/quota/1", *lines))
+        self.assertTrue(received.endswith(b"ok"))
+        self.assertIn(b"x-request-id: r-7", received)
+        self.assertLessEqual(int(seen[0][b"fuchsiaspool-deadline-ms"]), 400)
+        self.assertNotIn(b"fuchsiaspool-mesh", seen[0])
+
     def test_large_bodies_stream_both_ways_in_little_memory(self):
         received = []
 
