Show a data centre replaced whole and an outage of two hours

The platform stand-in could not cut one data centre off. Change: two tests with announcements, leases and heartbeats together on the paused clock; the stand-in refuses clients by IP number. Figures: right members on all nodes by the end of the lease and the six minutes of trust after the loss, and ten minutes after an outage of two hours. Conclusion: both pass without a change to the product.

--- a/src/fuchsiaspool/standins/platform.py
+++ b/src/fuchsiaspool/standins/platform.py
@@ -26,7 +26,10 @@
 
 
 class PlatformFaults(msgspec.Struct):
-    """Say what goes wrong from now on; times in seconds, counts in requests."""
+    """Say what goes wrong from now on; times in seconds, counts in requests.
+
+    Clients at `cut_off` IP numbers are refused, as by a cut of their data centre.
+    """
 
     down: bool = False
     delay: float = 0.0
@@ -34,6 +37,7 @@
     lose_writes: int = 0
     cut_watches: bool = False
     stale_lists: bool = False
+    cut_off: list[str] = []
 
 
 @dataclass(slots=True)
@@ -148,7 +152,7 @@
     def _suffer(self) -> None:
         if self.faults.delay:
             gevent.sleep(self.faults.delay)
-        if self.faults.down:
+        if self.faults.down or bottle.request.remote_addr in self.faults.cut_off:
             bottle.abort(503, "down")
 
     def _get(self, key: str) -> bytes:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -236,6 +236,66 @@
         self.assertEqual({path for tell in told for path in tell.texts}, {changed})
 
 
+class ReplacedCentreTests(MembershipCase):
+    def register(self, peers, platform):
+        """Give every peer its announcement; all of them read who else did."""
+        own = {}
+        for peer in peers:
+            own[peer] = Registry(
+                self.clock,
+                platform,
+                peer.table,
+                lambda peer=peer: peer.membership.own,
+            )
+        return own
+
+    def run_minutes(self, minutes, registries):
+        for _ in range(minutes):
+            for peer, registry in registries.items():
+                if peer.address in self.network.peers:
+                    self.clock.spawn(registry.announce)
+                    self.clock.spawn(registry.read_members)
+            self.network.run(60)
+
+    def test_a_data_centre_replaced_whole_ends_with_the_right_members(self):
+        platform = FakePlatform(self.clock).connect()
+        peers = self.grow(3, CENTRES)
+        registries = self.register(peers, platform)
+        self.run_minutes(2, registries)
+        lost, rest = peers[:3], peers[3:]
+        for peer in lost:
+            self.network.remove(peer)
+        fresh = [
+            self.network.add(f"fresh-{n}", *CENTRES[0], contacts=rest[:2])
+            for n in range(3)
+        ]
+        registries.update(self.register(fresh, platform))
+        self.network.run(10)
+        for peer in rest:
+            self.assertTrue(self.names(fresh) <= peer.knows(ALIVE))
+        minutes = int((LEASE_SECONDS + TRUST_SECONDS) / 60) + 2
+        self.run_minutes(minutes, registries)
+        for peer in [*rest, *fresh]:
+            self.assertEqual(peer.knows(ALIVE), self.names([*rest, *fresh]))
+
+    def test_an_outage_of_hours_ends_with_the_right_members(self):
+        down = []
+        fake = FakePlatform(self.clock)
+        platform = fake.connect(lambda: Fault.DOWN if down else Fault.NONE)
+        peers = self.grow(3, CENTRES)
+        registries = self.register(peers, platform)
+        self.run_minutes(2, registries)
+        down.append(True)
+        self.run_minutes(60, registries)
+        gone, peers = peers[0], peers[1:]
+        self.network.remove(gone)
+        self.run_minutes(60, registries)
+        down.clear()
+        self.run_minutes(10, registries)
+        for peer in peers:
+            self.assertEqual(peer.knows(ALIVE), self.names(peers))
+
+
 class RegistryTests(unittest.TestCase):
     def setUp(self):
         self.clock = PausedClock()
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -77,6 +77,13 @@
         self.assertIsInstance(self.client.put(KEY, b"2", 1), Unavailable)
         self.assertEqual(self.client.get(KEY), Err(ReadFault.UNAVAILABLE))
 
+    def test_a_cut_data_centre_is_cut_off_and_others_are_not(self):
+        self.set_faults(cut_off=["127.0.0.9"])
+        self.assertIsInstance(self.client.put(KEY, b"1", None), Applied)
+        self.set_faults(cut_off=["127.0.0.1"])
+        self.assertIsInstance(self.client.put(KEY, b"2", 1), Unavailable)
+        self.assertEqual(self.client.get(KEY), Err(ReadFault.UNAVAILABLE))
+
     def test_nobody_listening_is_certainly_not_taken(self):
         nobody = make_platform(take_address(), self.clock, random.Random(1))
         self.assertIsInstance(nobody.put(KEY, b"1", None), Unavailable)
