Speak the platform's published store protocol

Cause: the client and stand-in spoke a protocol of our own; the platform's store has kinds, names, revisions and paged lists. One client and one stand-in now speak the published one behind the same Platform interface; every user of it is unchanged.

--- a/src/fuchsiaspool/operations/sweeping.py
+++ b/src/fuchsiaspool/operations/sweeping.py
@@ -13,7 +13,7 @@
 from .keys import find_last_disposable, list_shards
 
 SWEEP_SECONDS: Final = 60.0
-SWEPT_KEY: Final = ObjectKey("operations-swept")
+SWEPT_KEY: Final = ObjectKey("operations-swept/mark")
 # Bounds the requests of one sweep: two for each shard of a window.
 WINDOWS_PER_SWEEP: Final = 60
 
--- a/src/fuchsiaspool/platform/client.py
+++ b/src/fuchsiaspool/platform/client.py
@@ -1,11 +1,14 @@
-"""Call the platform's object API over HTTP."""
+"""Call the platform's object store over HTTP."""
 
 import random
-from typing import Final
+import socket
+from collections.abc import Callable
+from typing import Final, TypeVar
 from urllib.parse import quote
 
 import msgspec
 import urllib3
+from urllib3.connection import HTTPConnection
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from ..addresses import Address
@@ -16,6 +19,7 @@
     Ambiguous,
     Applied,
     Conflict,
+    Event,
     Events,
     Listing,
     ObjectKey,
@@ -25,14 +29,41 @@
     Unavailable,
     WriteOutcome,
 )
+from .wire import (
+    OBJECTS_PATH,
+    NewMetadata,
+    NewObject,
+    StoreObject,
+    decode_events,
+    decode_list,
+    decode_object,
+    encode,
+    read_value,
+    write_value,
+)
 
 REQUEST_SECONDS: Final = 1.0
 READ_TRIES: Final = 3
 RETRY_SECONDS: Final = 0.1
 CONNECTIONS: Final = 8
 _WATCH_MARGIN_SECONDS: Final = 2.0
+_MILLI: Final = 1000
+# A connection can go silent without a reset; both options end one that did.
+SILENT_MILLISECONDS: Final = 2000
+KEEPALIVE_SECONDS: Final = 1
+KEEPALIVE_PROBES: Final = 2
 
 _Answer = urllib3.BaseHTTPResponse
+T = TypeVar("T")
+
+SOCKET_OPTIONS: Final = [
+    *HTTPConnection.default_socket_options,
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_MILLISECONDS),
+]
 
 
 class _Client:
@@ -40,56 +71,77 @@
 
     def __init__(self, address: Address, clock: Clock, chance: random.Random) -> None:
         self._pool = urllib3.HTTPConnectionPool(
-            address.host, address.port, maxsize=CONNECTIONS, retries=False
+            address.host,
+            address.port,
+            maxsize=CONNECTIONS,
+            retries=False,
+            socket_options=SOCKET_OPTIONS,
         )
         self._clock = clock
         self._chance = chance
 
     def get(self, key: ObjectKey) -> Result[StoredObject, ReadFault]:
-        answer = self._read(f"/objects/{quote(key)}", REQUEST_SECONDS)
-        if isinstance(answer, Err):
-            return answer
-        version = _read_version(answer.value)
-        if version is None:
-            return Err(ReadFault.UNAVAILABLE)
-        return Ok(StoredObject(key, version, answer.value.data))
+        found = self._read(_make_path(key), REQUEST_SECONDS, decode_object)
+        if isinstance(found, Err):
+            return found
+        return Ok(_make_stored(key, found.value))
 
     def put(
         self, key: ObjectKey, value: bytes, version: Version | None
     ) -> WriteOutcome:
-        condition = {"If-None-Match": "*"}
-        if version is not None:
-            condition = {"If-Match": f'"{version}"'}
-        return self._write("PUT", key, value, condition)
+        kind, name = _split(key)
+        if version is None:
+            created = NewObject(NewMetadata(name), write_value(value))
+            return self._write("POST", f"{OBJECTS_PATH}/{kind}", encode(created))
+        changed = NewObject(NewMetadata(name, version), write_value(value))
+        return self._write("PUT", _make_path(key), encode(changed))
 
     def delete(self, key: ObjectKey, version: Version) -> WriteOutcome:
-        return self._write("DELETE", key, None, {"If-Match": f'"{version}"'})
+        return self._write("DELETE", f"{_make_path(key)}?revision={version}", None)
 
     def list_prefix(self, prefix: str) -> Result[Listing, ReadFault]:
-        answer = self._read(f"/objects?prefix={quote(prefix)}", REQUEST_SECONDS)
-        if isinstance(answer, Err):
-            return answer
-        try:
-            return Ok(msgspec.json.decode(answer.value.data, type=Listing))
-        except msgspec.DecodeError:
-            return Err(ReadFault.UNAVAILABLE)
+        kind, start = _split(prefix)
+        items: list[StoredObject] = []
+        at: int | None = None
+        after = ""
+        while True:
+            query = f"?after={quote(after, safe='')}" if after else ""
+            path = f"{OBJECTS_PATH}/{kind}{query}"
+            page = self._read(path, REQUEST_SECONDS, decode_list)
+            if isinstance(page, Err):
+                return page
+            for found in page.value.items:
+                after = found.metadata.name
+                if after.startswith(start):
+                    items.append(_make_stored(ObjectKey(f"{kind}/{after}"), found))
+            # Later pages may be newer: watching on from the first misses nothing.
+            at = page.value.at if at is None else at
+            if not page.value.has_more or not page.value.items:
+                return Ok(Listing(Version(at), items))
 
     def watch(
         self, prefix: str, version: Version, seconds: float
     ) -> Result[Events, ReadFault]:
-        query = f"prefix={quote(prefix)}&from={version}&timeout_ms={seconds * 1000:.0f}"
+        kind, start = _split(prefix)
+        query = f"watch={version}&waitMs={int(seconds * _MILLI)}"
         limit = seconds + _WATCH_MARGIN_SECONDS
-        answer = self._read(f"/watch?{query}", limit, tries=1)
-        if isinstance(answer, Err):
-            return answer
-        try:
-            return Ok(msgspec.json.decode(answer.value.data, type=Events))
-        except msgspec.DecodeError:
-            return Err(ReadFault.UNAVAILABLE)
+        path = f"{OBJECTS_PATH}/{kind}?{query}"
+        found = self._read(path, limit, decode_events, tries=1)
+        if isinstance(found, Err):
+            return found
+        events: list[Event] = []
+        for event in found.value.events:
+            metadata = event.object.metadata
+            if not metadata.name.startswith(start):
+                continue
+            key = ObjectKey(f"{kind}/{metadata.name}")
+            value = None if event.deleted else read_value(event.object.specification)
+            events.append(Event(key, Version(metadata.revision), value))
+        return Ok(Events(Version(found.value.at), events))
 
     def _read(
-        self, path: str, limit: float, tries: int = READ_TRIES
-    ) -> Result[_Answer, ReadFault]:
+        self, path: str, limit: float, decode: Callable[[bytes], T], tries: int = READ_TRIES
+    ) -> Result[T, ReadFault]:
         for attempt in range(tries):
             if attempt:
                 pause = RETRY_SECONDS * 2**attempt
@@ -102,20 +154,22 @@
                 return Err(ReadFault.NOT_FOUND)
             if answer.status == 410:
                 return Err(ReadFault.VERSION_TOO_OLD)
-            if answer.status == 200:
-                return Ok(answer)
+            if answer.status != 200:
+                continue
+            try:
+                return Ok(decode(answer.data))
+            except msgspec.DecodeError:
+                continue
         return Err(ReadFault.UNAVAILABLE)
 
-    def _write(
-        self, method: str, key: ObjectKey, value: bytes | None, headers: dict[str, str]
-    ) -> WriteOutcome:
+    def _write(self, method: str, path: str, body: bytes | None) -> WriteOutcome:
         # A write is sent once; whoever asked settles an ambiguous one by reading.
         try:
             answer = self._pool.request(
                 method,
-                f"/objects/{quote(key)}",
-                body=value,
-                headers=headers,
+                path,
+                body=body,
+                headers={"Content-Type": "application/json"},
                 timeout=REQUEST_SECONDS,
                 retries=False,
             )
@@ -123,19 +177,36 @@
             return Unavailable(str(error))
         except HTTPError as error:
             return Ambiguous(str(error))
-        if answer.status in (404, 412):
+        if answer.status in (404, 409):
             return Conflict()
         if answer.status in (429, 503):
             return Unavailable(f"status {answer.status}")
-        version = _read_version(answer)
-        if answer.status not in (200, 201, 204) or version is None:
+        if answer.status not in (200, 201, 204):
             return Ambiguous(f"status {answer.status}")
-        return Applied(version)
+        return Applied(_read_version(answer))
+
+
+def _read_version(answer: _Answer) -> Version:
+    try:
+        return Version(decode_object(answer.data).metadata.revision)
+    except msgspec.DecodeError:
+        # A deletion need not return the object.
+        return Version(0)
+
+
+def _make_stored(key: ObjectKey, found: StoreObject) -> StoredObject:
+    value = read_value(found.specification)
+    return StoredObject(key, Version(found.metadata.revision), value)
+
+
+def _split(key: str) -> tuple[str, str]:
+    kind, _, name = key.partition("/")
+    return kind, name
 
 
-def _read_version(answer: _Answer) -> Version | None:
-    text = answer.headers.get("ETag", "").strip('"')
-    return Version(int(text)) if text.isdigit() else None
+def _make_path(key: ObjectKey) -> str:
+    kind, name = _split(key)
+    return f"{OBJECTS_PATH}/{kind}/{quote(name, safe='')}"
 
 
 def make_platform(address: Address, clock: Clock, chance: random.Random) -> Platform:
--- a/src/fuchsiaspool/standins/platform.py
+++ b/src/fuchsiaspool/standins/platform.py
@@ -1,8 +1,9 @@
 """Stand in for the platform's object service, with faults to order."""
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Final
 
 import bottle
 import gevent
@@ -11,6 +12,8 @@
 from gevent.pywsgi import WSGIServer
 
 from ..addresses import Address
+from ..clock import SystemClock
+from ..controllers.buckets import TokenBucket
 from ..http.listeners import listen
 from ..ids import Version
 from ..platform.objects import (
@@ -21,20 +24,35 @@
     ObjectKey,
     StoredObject,
 )
+from ..platform.wire import (
+    Metadata,
+    NewObject,
+    ObjectEvent,
+    ObjectEvents,
+    ObjectList,
+    StoreObject,
+    read_value,
+    write_value,
+)
 
 EVENTS_KEPT: Final = 1000
+# Objects in one page of a list, as the platform's pages say.
+PAGE_ITEMS: Final = 500
 
 
 class PlatformFaults(msgspec.Struct):
     """Say what goes wrong from now on; times in seconds, counts in requests.
 
     Clients at `cut_off` IP numbers are refused, as by a cut of their data centre.
+    `late_writes` are answered by nothing and take effect after `late_seconds`.
     """
 
     down: bool = False
     delay: float = 0.0
     lose_write_answers: int = 0
     lose_writes: int = 0
+    late_writes: int = 0
+    late_seconds: float = 1.0
     cut_watches: bool = False
     stale_lists: bool = False
     cut_off: list[str] = []
@@ -42,11 +60,12 @@
 
 @dataclass(slots=True)
 class Meter:
-    """Count requests, and the most of them in one second."""
+    """Count requests, and those refused because they were over the rates."""
 
     reads: int = 0
     writes: int = 0
     watches: int = 0
+    refused: int = 0
 
 
 class ObjectStore:
@@ -100,6 +119,13 @@
                 self._changed.wait()
         return Events(self.version, []) if since >= self.oldest else None
 
+    def forget_history(self) -> None:
+        """Drop every event, so that no watch can resume."""
+        self._events.clear()
+        self.oldest = Version(self.version + 1)
+        self._changed.set()
+        self._changed.clear()
+
     def _advance(self) -> Version:
         self.version = Version(self.version + 1)
         return self.version
@@ -113,13 +139,26 @@
 
 
 class PlatformStandin:
-    """Serve an object store over HTTP."""
+    """Serve an object store over HTTP in the platform's published protocol.
 
-    def __init__(self, address: Address) -> None:
+    Calls beyond `writes_per_second` or `reads_per_second` are refused with 429.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        writes_per_second: float = float("inf"),
+        reads_per_second: float = float("inf"),
+        page_items: int = PAGE_ITEMS,
+    ) -> None:
         self.store = ObjectStore()
         self.faults = PlatformFaults()
         self.meter = Meter()
-        self._stale: Listing | None = None
+        clock = SystemClock()
+        self._writes = TokenBucket(clock, writes_per_second, writes_per_second)
+        self._reads = TokenBucket(clock, reads_per_second, reads_per_second)
+        self._page_items = page_items
+        self._stale: dict[str, Listing] = {}
         socket = listen(address)
         self.address = Address(*socket.getsockname()[:2])
         app = self._make_app()
@@ -135,11 +174,11 @@
 
     def _make_app(self) -> bottle.Bottle:
         app = bottle.Bottle()
-        app.get("/objects/<key:path>", callback=self._get)
-        app.put("/objects/<key:path>", callback=self._put)
-        app.delete("/objects/<key:path>", callback=self._delete)
-        app.get("/objects", callback=self._list)
-        app.get("/watch", callback=self._watch)
+        app.get("/-/objects/<kind>", callback=self._list_or_watch)
+        app.post("/-/objects/<kind>", callback=self._create)
+        app.get("/-/objects/<kind>/<name:path>", callback=self._get)
+        app.put("/-/objects/<kind>/<name:path>", callback=self._replace)
+        app.delete("/-/objects/<kind>/<name:path>", callback=self._delete)
         app.get("/meter", callback=lambda: msgspec.json.encode(self.meter))
         app.put("/faults", callback=self._set_faults)
         return app
@@ -149,76 +188,114 @@
         self.faults = msgspec.json.decode(body, type=PlatformFaults)
         return ""
 
-    def _suffer(self) -> None:
+    def _suffer(self, rate: TokenBucket) -> None:
         if self.faults.delay:
             gevent.sleep(self.faults.delay)
         if self.faults.down or bottle.request.remote_addr in self.faults.cut_off:
             bottle.abort(503, "down")
+        if not rate.take(1.0):
+            self.meter.refused += 1
+            bottle.abort(429, "over the rate")
 
-    def _get(self, key: str) -> bytes:
+    def _get(self, kind: str, name: str) -> bytes:
         self.meter.reads += 1
-        self._suffer()
-        stored = self.store.objects.get(ObjectKey(key))
+        self._suffer(self._reads)
+        stored = self.store.objects.get(ObjectKey(f"{kind}/{name}"))
         if stored is None:
             raise bottle.HTTPError(404, "no such object")
-        bottle.response.set_header("ETag", f'"{stored.version}"')
-        return stored.value
+        return msgspec.json.encode(_describe(stored))
 
-    def _list(self) -> bytes:
+    def _list_or_watch(self, kind: str) -> bytes:
+        query = bottle.request.query
+        if query.watch:
+            return self._watch(kind, Version(int(query.watch)), int(query.waitMs))
         self.meter.reads += 1
-        self._suffer()
-        listing = self.store.list_prefix(bottle.request.query.prefix)
-        if not self.faults.stale_lists:
-            self._stale = listing
-        return msgspec.json.encode(self._stale or listing)
-
-    def _watch(self) -> bytes:
+        self._suffer(self._reads)
+        listing = self.store.list_prefix(f"{kind}/")
+        if self.faults.stale_lists:
+            listing = self._stale.get(kind, listing)
+        self._stale[kind] = listing
+        start = f"{kind}/{query.after}" if query.after else ""
+        items = [_describe(item) for item in listing.items if item.key > start]
+        more = len(items) > self._page_items
+        page = ObjectList(items[: self._page_items], listing.version, more)
+        return msgspec.json.encode(page)
+
+    def _watch(self, kind: str, since: Version, milliseconds: int) -> bytes:
         self.meter.watches += 1
-        self._suffer()
+        self._suffer(self._reads)
         if self.faults.cut_watches:
             bottle.abort(500, "cut")
-        query = bottle.request.query
-        seconds = int(query.timeout_ms) / 1000
-        found = self.store.watch(query.prefix, Version(int(query["from"])), seconds)
+        found = self.store.watch(f"{kind}/", since, milliseconds / 1000)
         if found is None:
-            bottle.abort(410, "version too old")
+            bottle.abort(410, "this history is gone")
         if self.faults.down:
             bottle.abort(503, "down")
-        return msgspec.json.encode(found)
-
-    def _put(self, key: str) -> Any:
+        events = [
+            ObjectEvent(
+                _describe(StoredObject(event.key, event.version, event.value or b"")),
+                event.value is None,
+            )
+            for event in found.items
+        ]
+        return msgspec.json.encode(ObjectEvents(events, found.version))
+
+    def _create(self, kind: str) -> bytes:
+        new = self._read_body()
+        key = ObjectKey(f"{kind}/{new.metadata.name}")
+        return self._write(key, lambda: self.store.put(key, _read(new), None))
+
+    def _replace(self, kind: str, name: str) -> bytes:
+        new = self._read_body()
+        key = ObjectKey(f"{kind}/{name}")
+        version = Version(new.metadata.revision)
+        return self._write(key, lambda: self.store.put(key, _read(new), version))
+
+    def _delete(self, kind: str, name: str) -> bytes:
+        key = ObjectKey(f"{kind}/{name}")
+        version = Version(int(bottle.request.query.revision))
+
+        def delete() -> StoredObject | None:
+            gone = self.store.delete(key, version)
+            return None if gone is None else StoredObject(key, gone, b"")
+
+        return self._write(key, delete)
+
+    def _read_body(self) -> NewObject:
         body = bottle.request.body.read()
         if len(body) > VALUE_BYTES:
             bottle.abort(413, "value too large")
-        creates = bottle.request.get_header("If-None-Match") == "*"
-        version = None if creates else _read_match()
-        self._begin_write()
-        stored = self.store.put(ObjectKey(key), body, version)
-        return self._end_write(stored.version if stored else None)
-
-    def _delete(self, key: str) -> Any:
-        self._begin_write()
-        return self._end_write(self.store.delete(ObjectKey(key), _read_match()))
+        return msgspec.json.decode(body, type=NewObject)
 
-    def _begin_write(self) -> None:
+    def _write(
+        self, key: ObjectKey, apply: Callable[[], StoredObject | None]
+    ) -> bytes:
         self.meter.writes += 1
-        self._suffer()
+        self._suffer(self._writes)
         if self.faults.lose_writes:
             self.faults.lose_writes -= 1
             bottle.abort(500, "lost before it was applied")
-
-    def _end_write(self, version: Version | None) -> str:
-        if version is not None and self.faults.lose_write_answers:
+        if self.faults.late_writes:
+            self.faults.late_writes -= 1
+            gevent.spawn_later(self.faults.late_seconds, apply)
+            bottle.abort(500, "answer lost")
+        stored = apply()
+        if stored is not None and self.faults.lose_write_answers:
             self.faults.lose_write_answers -= 1
             bottle.abort(500, "answer lost")
-        if version is None:
-            bottle.abort(412, "conflict")
-        bottle.response.set_header("ETag", f'"{version}"')
-        return ""
+        if stored is not None:
+            return msgspec.json.encode(_describe(stored))
+        current = self.store.objects.get(key)
+        if current is None:
+            raise bottle.HTTPError(404, "no such object")
+        bottle.response.status = 409
+        return msgspec.json.encode(_describe(current))
+
+
+def _read(new: NewObject) -> bytes:
+    return read_value(new.specification)
 
 
-def _read_match() -> Version:
-    text = bottle.request.get_header("If-Match", "").strip('"')
-    if not text.isdigit():
-        bottle.abort(428, "a condition is required")
-    return Version(int(text))
+def _describe(stored: StoredObject) -> StoreObject:
+    name = stored.key.partition("/")[2]
+    return StoreObject(Metadata(name, stored.version), write_value(stored.value))
