--- a/src/fuchsiaspool/calls.py
+++ b/src/fuchsiaspool/calls.py
@@ -53,7 +53,11 @@
 
 @dataclass(slots=True)
 class Call:
-    """Hold what filters need to decide about a call."""
+    """Hold what filters need to decide about a call.
+
+    `aim` is the moment until which an answer is worth most; `attempts` bounds the
+    servers that it may be sent to; `trail` notes where it was sent and what came.
+    """
 
     request: RequestId
     caller: CallerId
@@ -77,6 +81,10 @@
     classified: bool = False
     expires_wall: float | None = None
     children: int = 0
+    host: str = ""
+    aim: float = 0.0
+    attempts: int = 1
+    trail: list[str] = field(default_factory=list)
     cancellation: Cancellation = field(default_factory=Cancellation)
     finishers: list[Callable[[bool], None]] = field(default_factory=list)
 
--- /dev/null
+++ b/src/fuchsiaspool/commands/sidecar.py
@@ -0,0 +1,106 @@
+"""Run a node on the platform from the settings file that the platform fills in."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse
+import logging
+import os
+import signal
+import sys
+from pathlib import Path
+
+import gevent
+
+from ..logs import configure_queued_logs
+from ..options import PlatformOptions, read_platform_options
+from ..results import Err
+from ..runtime import tune_collector
+from ..sidecar import Sidecar
+
+_LOG = logging.getLogger(__name__)
+EXIT_SETTINGS = 2
+SETTINGS_VARIABLE = "FUCHSIASPOOL_NODE_FILE"
+LEVEL_VARIABLE = "FUCHSIASPOOL_LOG_LEVEL"
+# How often the settings file is looked at, should it change without a signal.
+LOOK_SECONDS = 2.0
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Check the settings, run until told to stop, and return the exit code."""
+    parsed = _make_parser().parse_args(arguments)
+    path = Path(parsed.settings)
+    options = _read(path)
+    if isinstance(options, str):
+        print(options, file=sys.stderr)
+        return EXIT_SETTINGS
+    if parsed.check:
+        print(f"{path}: ok")
+        return 0
+    _run(path, options, parsed.log_level)
+    return 0
+
+
+def _make_parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="fuchsiaspool-sidecar",
+        description="Admit the calls of one backend server on the platform.",
+    )
+    parser.add_argument(
+        "settings",
+        nargs="?",
+        default=os.environ.get(SETTINGS_VARIABLE, ""),
+        help=f"INI file that places this node (default: ${SETTINGS_VARIABLE})",
+    )
+    parser.add_argument("--check", action="store_true", help="check and exit")
+    parser.add_argument(
+        "--log-level",
+        default=os.environ.get(LEVEL_VARIABLE, "INFO"),
+        help="least level to log",
+    )
+    return parser
+
+
+def _read(path: Path) -> PlatformOptions | str:
+    try:
+        text = path.read_text()
+    except OSError as error:
+        return f"{path}: {error.strerror}"
+    options = read_platform_options(str(path), text)
+    return str(options.error) if isinstance(options, Err) else options.value
+
+
+def _run(path: Path, options: PlatformOptions, level: str) -> None:
+    handler = configure_queued_logs(level, sys.stdout.fileno())
+    gevent.spawn(handler.run)
+    node = Sidecar(options)
+    known = path.read_bytes()
+
+    def reload() -> None:
+        nonlocal known
+        known = path.read_bytes()
+        found = _read(path)
+        if isinstance(found, str):
+            _LOG.error("settings not reloaded", extra={"detail": found})
+            return
+        node.reload(found)
+
+    def look() -> None:
+        while True:
+            gevent.sleep(LOOK_SECONDS)
+            if path.read_bytes() != known:
+                reload()
+
+    gevent.signal_handler(signal.SIGTERM, gevent.spawn, node.stop)
+    gevent.signal_handler(signal.SIGINT, gevent.spawn, node.stop)
+    gevent.signal_handler(signal.SIGHUP, gevent.spawn, reload)
+    node.start()
+    gevent.spawn(look)
+    tune_collector()
+    node.stopped.wait()
+    handler.write_some()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/fuchsiaspool/controllers/admission.py
+++ b/src/fuchsiaspool/controllers/admission.py
@@ -58,6 +58,11 @@
         """Return how many calls wait."""
         return len(self._queue)
 
+    @property
+    def service_seconds(self) -> float:
+        """Return the mean time that a call spends at the server."""
+        return self._estimate
+
     @property
     def free(self) -> bool:
         """Tell if a call would be admitted at once."""
--- /dev/null
+++ b/src/fuchsiaspool/controllers/attendance.py
@@ -0,0 +1,20 @@
+"""Keep the node's member record in step with its backend server."""
+
+from collections.abc import Callable
+
+from .backend import BackendServer, ServerState
+from .membership import Membership
+
+
+def make_attendance(
+    server: BackendServer, membership: Membership, is_leaving: Callable[[], bool]
+) -> Callable[[], None]:
+    """Return a function that offers the node while its server takes work."""
+
+    def attend() -> None:
+        if server.state is ServerState.READY and not is_leaving():
+            membership.offer()
+        else:
+            membership.leave()
+
+    return attend
--- a/src/fuchsiaspool/controllers/membership.py
+++ b/src/fuchsiaspool/controllers/membership.py
@@ -83,9 +83,21 @@
         for address in contacts:
             self._send(address, Sync([self.own], wants_reply=True))
 
+    def offer(self) -> None:
+        """Tell peers at once that this node takes work again."""
+        if self.own.state is MemberState.ALIVE:
+            return
+        self._set_own(MemberState.ALIVE, Incarnation(self.own.incarnation + 1))
+        self._push_everywhere()
+
     def leave(self) -> None:
         """Tell peers at once that this node takes no new work."""
+        if self.own.state is MemberState.LEAVING:
+            return
         self._set_own(MemberState.LEAVING, self.own.incarnation)
+        self._push_everywhere()
+
+    def _push_everywhere(self) -> None:
         self.push_news()
         for member in self._choose_abroad():
             self._send(parse_address(member.peers), Sync([self.own]))
--- a/src/fuchsiaspool/controllers/registry.py
+++ b/src/fuchsiaspool/controllers/registry.py
@@ -114,4 +114,4 @@
 
 def make_key(member: Member) -> ObjectKey:
     """Return where a member's announcement is kept."""
-    return ObjectKey(f"{PREFIX}{member.data_centre}/{member.node}")
+    return ObjectKey(f"{PREFIX}{member.data_centre}.{member.node}")
--- a/src/fuchsiaspool/controllers/settings.py
+++ b/src/fuchsiaspool/controllers/settings.py
@@ -2,34 +2,38 @@
 
 import logging
 from collections.abc import Callable
-from typing import Final
+from typing import Any, Final, Generic, TypeVar
 
 from ..addresses import Address, parse_address
 from ..clock import Clock
 from ..ids import Revision, SubtreePath
 from ..peers.messages import Envelope, SettingsAsk, SettingsTell
-from ..results import Err
+from ..results import Err, Result
 from ..settings.objects import Bundle, hash_tree
-from ..settings.policy import Policy
-from ..settings.tree import build_policy
 
 _LOG = logging.getLogger(__name__)
 ASK_AGAIN_SECONDS: Final = 0.5
 
 Send = Callable[[Address, SettingsAsk | SettingsTell], None]
+T = TypeVar("T")
+Build = Callable[[Revision, dict[SubtreePath, str]], Result[T, Any]]
 
 
-class SettingsKeeper:
-    """Adopt only higher revisions, whole and valid, and pass them on to peers."""
+class SettingsKeeper(Generic[T]):
+    """Adopt only higher revisions, whole and valid, and pass them on to peers.
+
+    `build` compiles the texts of a revision into what `put` brings into force.
+    """
 
     def __init__(
-        self, clock: Clock, put_policy: Callable[[Policy], bool], send: Send
+        self, clock: Clock, build: Build[T], put: Callable[[T], bool], send: Send
     ) -> None:
         self.bundle = Bundle(Revision(0), {}, {})
         self.fault = ""
         self.adopted_at = clock.now()
         self._clock = clock
-        self._put_policy = put_policy
+        self._build = build
+        self._put = put
         self._send = send
         self._asked: dict[Address, float] = {}
 
@@ -42,7 +46,7 @@
         """Put a bundle in force if it is newer and valid; tell if it was."""
         if bundle.revision <= self.bundle.revision:
             return False
-        built = build_policy(bundle.revision, bundle.texts)
+        built = self._build(bundle.revision, bundle.texts)
         if isinstance(built, Err):
             self.fault = f"revision {bundle.revision}: {built.error}"
             _LOG.error("settings not adopted", extra={"detail": self.fault})
@@ -50,7 +54,7 @@
         self.bundle = bundle
         self.fault = ""
         self.adopted_at = self._clock.now()
-        self._put_policy(built.value)
+        self._put(built.value)
         _LOG.info("settings adopted", extra={"revision": bundle.revision})
         return True
 
--- /dev/null
+++ b/src/fuchsiaspool/filters/explaining.py
@@ -0,0 +1,76 @@
+"""Log how each call ended, with what decided it."""
+
+import logging
+from collections.abc import Callable
+from typing import Final
+
+from ..calls import Call, Filter, Next
+from ..clock import Clock
+from ..controllers.buckets import TokenBucket
+from ..controllers.counters import Counters
+from ..controllers.histograms import Histograms, Measure
+from ..outcomes import Answered, NotRun, Outcome, Unknown
+from ..routes import RouteTable
+from .placing import describe
+
+_LOG = logging.getLogger(__name__)
+SERVER_ERROR: Final = 500
+# Lines a second for calls that went well, and for those that did not.
+WELL_PER_SECOND: Final = 5.0
+ILL_PER_SECOND: Final = 100.0
+_MILLI: Final = 1000.0
+
+
+def make_explaining(
+    clock: Clock,
+    histograms: Histograms,
+    counters: Counters,
+    get_table: Callable[[], RouteTable],
+) -> Filter:
+    """Return a filter that counts, times and explains the calls that begin here."""
+    well = TokenBucket(clock, WELL_PER_SECOND, WELL_PER_SECOND)
+    ill = TokenBucket(clock, ILL_PER_SECOND, ILL_PER_SECOND)
+    unlogged = 0
+
+    def explain(call: Call, following: Next) -> Outcome:
+        nonlocal unlogged
+        outcome = following(call)
+        seconds = clock.now() - call.start
+        name = call.call_class or "none"
+        counts = counters.find(name)
+        counts.retries += max(0, len(call.trail) - 1)
+        went_well = isinstance(outcome, Answered) and outcome.status < SERVER_ERROR
+        match outcome:
+            case Answered():
+                histograms.record(Measure.LATENCY, name, call.caller, seconds)
+                if went_well:
+                    counts.answered += 1
+                else:
+                    counts.failed += 1
+            case NotRun():
+                histograms.record(Measure.REFUSAL, name, call.caller, seconds)
+                counts.not_run[outcome.reason.value] += 1
+            case Unknown():
+                counts.unknown[outcome.reason.value] += 1
+        if not (well if went_well else ill).take(1.0):
+            unlogged += 1
+            return outcome
+        _LOG.info(
+            "call ended",
+            extra={
+                "request": call.request,
+                "route": call.operation,
+                "service": call.service,
+                "configuration": get_table().version,
+                "trail": call.trail,
+                "outcome": describe(outcome),
+                "detail": "" if isinstance(outcome, Answered) else outcome.detail,
+                "ms": round(seconds * _MILLI, 1),
+                "left_ms": round((call.deadline - clock.now()) * _MILLI, 1),
+                "unlogged": unlogged,
+            },
+        )
+        unlogged = 0
+        return outcome
+
+    return explain
--- /dev/null
+++ b/src/fuchsiaspool/gateway.py
@@ -0,0 +1,138 @@
+"""Turn requests on the platform into calls, and outcomes into answers."""
+
+import itertools
+import uuid
+from collections.abc import Callable
+from typing import Final
+
+from .allowance import Allowance
+from .calls import Call, Next
+from .clock import Clock
+from .http.messages import find_header
+from .http.server import Handle, Reply, Request
+from .ids import CallerId, RequestId, ServiceName
+from .interface import Interface
+from .mesh import (
+    OUTCOME_HEADER,
+    ContextError,
+    decode_context,
+    encode_outcome,
+    open_call,
+)
+from .node_load import NodeLoad
+from .outcomes import NotRun, NotRunReason, Outcome, Unknown, choose_status
+
+# Longest wait of a caller that names none.
+LONGEST_SECONDS: Final = 60.0
+_MILLI: Final = 1000.0
+_PREFIX: Final = uuid.uuid4().hex[:12]
+_numbers: Final = itertools.count()
+
+Track = Callable[[Call], Callable[[], None]]
+
+
+def make_outbound_entrance(
+    clock: Clock,
+    interface: Interface,
+    own: ServiceName,
+    outbound: Next,
+    track: Track,
+) -> Handle:
+    """Return the handler for requests that begin on this instance."""
+
+    def handle(request: Request) -> Reply:
+        headers = request.head.headers
+        host = find_header(headers, b"host") or ""
+        call = _make_call(request, clock, interface, own)
+        call.host = host.partition(":")[0].lower()
+        call.from_outside = True
+        call.deadline = clock.now() + _read_seconds(headers, interface.names.deadline)
+        finish = _make_finish(call, track(call))
+        return Reply(_guard(call, outbound, finish), [], finish)
+
+    return handle
+
+
+def make_inbound_entrance(
+    clock: Clock,
+    interface: Interface,
+    own: ServiceName,
+    inbound: Next,
+    track: Track,
+    find_load: Callable[[], NodeLoad],
+) -> Handle:
+    """Return the handler for calls that other nodes send to this one's server."""
+
+    def handle(request: Request) -> Reply:
+        arrived = clock.now()
+        call = _make_call(request, clock, interface, own)
+        finish = _make_finish(call, track(call))
+        outcome = _guard(call, serve, finish)
+        held = clock.now() - arrived
+        header = encode_outcome(outcome, 0, find_load(), held)
+        return Reply(outcome, [(OUTCOME_HEADER, header)], finish)
+
+    def serve(call: Call) -> Outcome:
+        try:
+            context = decode_context(call.headers)
+        except ContextError as error:
+            return NotRun(NotRunReason.BAD_CONTEXT, str(error))
+        open_call(context, clock, call)
+        if call.service == own:
+            return inbound(call)
+        return NotRun(NotRunReason.WRONG_NODE, f"this node serves {own!r}")
+
+    return handle
+
+
+def choose_platform_status(outcome: NotRun | Unknown) -> int:
+    """Return 503 wherever nothing was run, so that a caller may safely come back."""
+    status = choose_status(outcome)
+    if isinstance(outcome, NotRun) and status == 504:
+        return 503
+    return status
+
+
+def _make_call(
+    request: Request, clock: Clock, interface: Interface, own: ServiceName
+) -> Call:
+    now = clock.now()
+    head = request.head
+    attempt = find_header(head.headers, interface.names.attempt)
+    return Call(
+        RequestId(attempt or f"{_PREFIX}-{next(_numbers):x}"),
+        CallerId(own),
+        own,
+        head.method,
+        head.target.decode("latin-1"),
+        head.headers,
+        request.body,
+        now,
+        now + LONGEST_SECONDS,
+        Allowance(0),
+        cancellation=request.cancellation,
+    )
+
+
+def _read_seconds(headers: list[tuple[bytes, bytes]], name: bytes) -> float:
+    text = find_header(headers, name)
+    try:
+        return min(LONGEST_SECONDS, float(text) / _MILLI) if text else LONGEST_SECONDS
+    except ValueError:
+        return LONGEST_SECONDS
+
+
+def _make_finish(call: Call, done: Callable[[], None]) -> Callable[[bool], None]:
+    def finish(whole: bool) -> None:
+        call.finish(whole)
+        done()
+
+    return finish
+
+
+def _guard(call: Call, step: Next, finish: Callable[[bool], None]) -> Outcome:
+    try:
+        return step(call)
+    except BaseException:
+        finish(False)
+        raise
--- a/src/fuchsiaspool/http/client.py
+++ b/src/fuchsiaspool/http/client.py
@@ -1,10 +1,11 @@
 """Send calls over kept-alive connections and tag how each ended."""
 
+import time
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 from typing import Any, Final
 
 import gevent.socket
-from gevent.socket import IPPROTO_TCP, TCP_NODELAY
 
 from ..addresses import Address
 from ..bodies import BUFFER_BYTES, Body, BodyError, Headers
@@ -17,26 +18,52 @@
     Head,
     MessageError,
     MessageReader,
+    find_header,
     frame_chunk,
     join_bare_head,
     join_head,
 )
-from .sockets import Peek, peek
+from .sockets import Peek, peek, tune_socket
 
 CONNECT_SECONDS: Final = 1.0
 STALL_SECONDS: Final = 15.0
 IDLE_CONNECTIONS: Final = 32
+# A connection that the peer may be about to close is not used again.
+IDLE_SECONDS: Final = 30.0
+KEEP_ALIVE_SHARE: Final = 0.7
+# Answers to earlier requests that are passed over while one is awaited.
+FOREIGN_ANSWERS: Final = 2
+# Longest answer without a length that is held until its connection ends.
+UNFRAMED_BYTES: Final = 8_388_608
 _BODILESS_METHODS: Final = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
 
 
+@dataclass(frozen=True, slots=True)
+class ExchangeRules:
+    """Say what a peer's answers look like; `grace` in seconds.
+
+    `belongs` tells if an answer is that of the call. With `by_close` an answer
+    without a length ends with its connection. An answer is awaited for `grace`
+    longer than the call's deadline, which the peer keeps itself.
+    """
+
+    belongs: Callable[[Call, Head], bool] = lambda call, head: True
+    by_close: bool = False
+    grace: float = 0.0
+
+
+OWN_RULES: Final = ExchangeRules()
+
+
 class Connection:
-    """Hold one socket to a server and its reader."""
+    """Hold one socket to a server and its reader; `expires` in monotonic seconds."""
 
-    __slots__ = ("socket", "reader")
+    __slots__ = ("socket", "reader", "expires")
 
     def __init__(self, socket: Any) -> None:
         self.socket = socket
         self.reader = MessageReader(socket, for_requests=False)
+        self.expires = 0.0
 
     def is_stale(self) -> bool:
         """Tell if the server closed the connection or sent bytes unasked."""
@@ -64,9 +91,10 @@
     def take(self, address: Address) -> Connection | None:
         """Return a fresh idle connection, if there is one."""
         idle = self._idle.get(address)
+        now = time.monotonic()
         while idle:
             connection = idle.pop()
-            if not connection.is_stale():
+            if connection.expires > now and not connection.is_stale():
                 return connection
             connection.close()
         return None
@@ -76,12 +104,22 @@
         socket = gevent.socket.create_connection(
             (address.host, address.port), min(CONNECT_SECONDS, timeout)
         )
-        socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        tune_socket(socket)
         return Connection(socket)
 
-    def give(self, address: Address, connection: Connection) -> None:
-        """Keep a connection for the next call."""
+    def give(
+        self,
+        address: Address,
+        connection: Connection,
+        idle_seconds: float = IDLE_SECONDS,
+    ) -> None:
+        """Keep a connection for the next call, for so long at most."""
         idle = self._idle.setdefault(address, [])
+        now = time.monotonic()
+        connection.expires = now + idle_seconds
+        # The oldest are used last: close those that have expired unused.
+        while idle and idle[0].expires <= now:
+            idle.pop(0).close()
         if len(idle) >= self._idle_limit:
             connection.close()
             return
@@ -103,14 +141,22 @@
     """Run one call over one connection."""
 
     def __init__(
-        self, pool: Pool, clock: Clock, address: Address, call: Call, headers: Headers
+        self,
+        pool: Pool,
+        clock: Clock,
+        rules: ExchangeRules,
+        address: Address,
+        call: Call,
+        headers: Headers,
     ) -> None:
+        self._rules = rules
         self._pool = pool
         self._clock = clock
         self._address = address
         self._call = call
         self._headers = headers
         self._handed_over = False
+        self._foreign = False
         self._connection: Connection | None = None
 
     def run(self) -> Outcome:
@@ -150,12 +196,25 @@
             connection.close()
             return NotRun(NotRunReason.CANCELLED)
         self._send(connection)
-        connection.socket.settimeout(self._remaining())
-        head = connection.reader.read_head()
-        return self._receive(connection, head)
+        reader = connection.reader
+        for _ in range(FOREIGN_ANSWERS + 1):
+            connection.socket.settimeout(self._remaining())
+            head = reader.read_head()
+            if self._rules.belongs(self._call, head):
+                return self._receive(connection, head)
+            self._skip_answer(connection)
+        return self._fail(UnknownReason.BAD_ANSWER, "answers to other requests only")
+
+    def _skip_answer(self, connection: Connection) -> None:
+        # A second answer to an earlier request: it belongs to nobody here.
+        self._foreign = True
+        while not connection.reader.complete:
+            connection.reader.read_body()
+        connection.reader.reset()
 
     def _remaining(self) -> float:
-        return max(self._call.deadline - self._clock.now(), 0.001)
+        left = self._call.deadline + self._rules.grace - self._clock.now()
+        return max(left, 0.001)
 
     def _send(self, connection: Connection) -> None:
         call = self._call
@@ -199,7 +258,9 @@
             connection.close()
             return Answered(head.status, head.headers, Body(b""))
         if head.length is None and not head.chunked and not reader.complete:
-            return self._fail(UnknownReason.UNFRAMED, "answer has no length")
+            if not self._rules.by_close:
+                return self._fail(UnknownReason.UNFRAMED, "answer has no length")
+            return self._receive_to_close(connection, head)
         first = reader.read_body(BUFFER_BYTES)
         if reader.complete:
             self._release(connection, head)
@@ -207,6 +268,17 @@
         rest = self._iterate(connection, head)
         return Answered(head.status, head.headers, Body(first, head.length, rest))
 
+    def _receive_to_close(self, connection: Connection, head: Head) -> Outcome:
+        pieces: list[bytes] = []
+        try:
+            while True:
+                pieces.append(connection.reader.read_body(1))
+                if sum(map(len, pieces)) > UNFRAMED_BYTES:
+                    return self._fail(UnknownReason.UNFRAMED, "too long to hold")
+        except ClosedError:
+            connection.close()
+        return Answered(head.status, head.headers, Body(b"".join(pieces)))
+
     def _iterate(self, connection: Connection, head: Head) -> Iterator[bytes]:
         done = False
         connection.socket.settimeout(STALL_SECONDS)
@@ -220,8 +292,10 @@
                 connection.close()
 
     def _release(self, connection: Connection, head: Head) -> None:
-        if head.keep_alive and not connection.reader.pending:
-            self._pool.give(self._address, connection)
+        idle_seconds = _read_idle_seconds(head)
+        reusable = head.keep_alive and not connection.reader.pending
+        if reusable and not self._foreign and idle_seconds > 0:
+            self._pool.give(self._address, connection, idle_seconds)
         else:
             connection.close()
 
@@ -238,10 +312,21 @@
 Send = Callable[[Address, Call, Headers], Outcome]
 
 
-def make_send(pool: Pool, clock: Clock) -> Send:
+def make_send(pool: Pool, clock: Clock, rules: ExchangeRules = OWN_RULES) -> Send:
     """Return a function that sends a call to an address and tags its outcome."""
 
     def send(address: Address, call: Call, headers: Headers) -> Outcome:
-        return _Exchange(pool, clock, address, call, headers).run()
+        return _Exchange(pool, clock, rules, address, call, headers).run()
 
     return send
+
+
+def _read_idle_seconds(head: Head) -> float:
+    text = find_header(head.headers, b"keep-alive")
+    if text is None:
+        return IDLE_SECONDS
+    for part in text.split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return min(IDLE_SECONDS, int(value) * KEEP_ALIVE_SHARE)
+    return IDLE_SECONDS
--- a/src/fuchsiaspool/http/messages.py
+++ b/src/fuchsiaspool/http/messages.py
@@ -216,12 +216,21 @@
 INTERNAL_PREFIX: Final = b"fuchsiaspool-"
 
 
+def drop_hop_headers(headers: Headers) -> Headers:
+    """Drop the headers that concern one connection, also those it names itself."""
+    named = _HOP_HEADERS
+    for name, value in headers:
+        if name == b"connection" and value.lower() not in (b"close", b"keep-alive"):
+            named = named | {part.strip() for part in value.lower().split(b",")}
+    return [pair for pair in headers if pair[0] not in named]
+
+
 def keep_end_to_end(headers: Headers) -> Headers:
     """Drop the headers that concern one connection, and all internal ones."""
     return [
         pair
-        for pair in headers
-        if pair[0] not in _HOP_HEADERS and not pair[0].startswith(INTERNAL_PREFIX)
+        for pair in drop_hop_headers(headers)
+        if not pair[0].startswith(INTERNAL_PREFIX)
     ]
 
 
--- a/src/fuchsiaspool/http/server.py
+++ b/src/fuchsiaspool/http/server.py
@@ -10,12 +10,11 @@
 import gevent.socket
 import msgspec
 from gevent.server import StreamServer
-from gevent.socket import IPPROTO_TCP, TCP_NODELAY
 
 from ..addresses import Address
 from ..bodies import BUFFER_BYTES, Body, BodyError, Headers
 from ..calls import Cancellation
-from ..outcomes import Answered, NotRun, NotRunReason, Outcome, choose_status
+from ..outcomes import Answered, NotRun, NotRunReason, Outcome
 from .messages import (
     LAST_CHUNK,
     ClosedError,
@@ -26,12 +25,11 @@
     frame_chunk,
     join_bare_head,
     join_head,
-    keep_end_to_end,
 )
-from .sockets import Peek, peek
+from .sockets import Peek, peek, tune_socket
+from .speech import OWN_SPEECH, Speech
 
 _LOG = logging.getLogger(__name__)
-IDLE_SECONDS: Final = 60.0
 HEADER_SECONDS: Final = 5.0
 STALL_SECONDS: Final = 5.0
 BODY_SECONDS: Final = 30.0
@@ -72,8 +70,15 @@
 class HttpServer:
     """Accept connections on one address and hand requests to a function."""
 
-    def __init__(self, address: Address, handle: Handle, limit: int = 4096) -> None:
+    def __init__(
+        self,
+        address: Address,
+        handle: Handle,
+        limit: int = 4096,
+        speech: Speech = OWN_SPEECH,
+    ) -> None:
         self._handle = handle
+        self._speech = speech
         self._server = StreamServer(
             (address.host, address.port), self._serve, spawn=limit, backlog=1024
         )
@@ -108,7 +113,7 @@
         self._server.stop(timeout=0)
 
     def _serve(self, socket: Any, peer: tuple[str, int]) -> None:
-        socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        tune_socket(socket)
         reader = MessageReader(socket, for_requests=True)
         try:
             while self._serve_one(socket, reader, peer[0]):
@@ -142,7 +147,7 @@
         if not reader.began:
             self._idle.add(socket)
             try:
-                socket.settimeout(IDLE_SECONDS)
+                socket.settimeout(self._speech.get_idle_seconds())
                 reader.receive()
             finally:
                 self._idle.discard(socket)
@@ -174,7 +179,9 @@
             reply = self._handle(request)
             watcher.stop()
             keep = request.head.keep_alive and not self.stopping and reader.complete
-            whole = _deliver(socket, request.head.method, reply, keep)
+            whole = _deliver(
+                socket, request.head.method, reply, keep, self._speech
+            )
             return keep and whole
         finally:
             watcher.stop()
@@ -185,7 +192,8 @@
     def _refuse(self, socket: Any, reason: NotRunReason, detail: str) -> None:
         _LOG.info("request refused", extra={"reason": reason.value, "detail": detail})
         outcome = NotRun(reason, detail)
-        _deliver(socket, "GET", Reply(outcome, [], lambda whole: None), False)
+        reply = Reply(outcome, [], lambda whole: None)
+        _deliver(socket, "GET", reply, False, self._speech)
 
 
 def _watch_caller(socket: Any, watcher: Any, cancellation: Cancellation) -> None:
@@ -197,19 +205,21 @@
         cancellation.cancel()
 
 
-def _deliver(socket: Any, method: str, reply: Reply, keep: bool) -> bool:
+def _deliver(
+    socket: Any, method: str, reply: Reply, keep: bool, speech: Speech
+) -> bool:
     outcome = reply.outcome
     if isinstance(outcome, Answered):
         status, body = outcome.status, outcome.body
-        headers = keep_end_to_end(outcome.headers)
+        headers = speech.keep_answer(outcome.headers)
     else:
-        status = choose_status(outcome)
+        status = speech.choose_status(outcome)
         tag = "not-run" if isinstance(outcome, NotRun) else "unknown"
         refusal = Refusal(tag, outcome.reason.value, outcome.detail)
         body = Body(msgspec.json.encode(refusal))
         headers = [(b"content-type", b"application/json")]
-        if status == 503:
-            headers.append((b"retry-after", b"1"))
+        if status == 503 and isinstance(outcome, NotRun):
+            headers.append((b"retry-after", speech.format_retry_after(outcome)))
     headers = headers + reply.headers
     if not keep:
         headers.append((b"connection", b"close"))
--- a/src/fuchsiaspool/mesh.py
+++ b/src/fuchsiaspool/mesh.py
@@ -13,6 +13,7 @@
 from .http.client import Send
 from .http.messages import find_header, keep_end_to_end
 from .ids import CallerId, OperationKey, RequestId, ServiceName
+from .node_load import NodeLoad
 from .outcomes import (
     NO_THRESHOLD,
     Answered,
@@ -44,10 +45,11 @@
     allowance: int
     key: OperationKey | None = None
     expires_wall: float | None = None
+    aim_ms: float = 0.0
 
 
 class MeshOutcome(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Describe an outcome to the node before."""
+    """Describe an outcome to the node before; `held` is the seconds spent here."""
 
     tag: str
     charged: int = 0
@@ -55,6 +57,9 @@
     not_run: NotRunReason | None = None
     unknown: UnknownReason | None = None
     detail: str = ""
+    retry_after: float | None = None
+    load: NodeLoad | None = None
+    held: float = 0.0
 
 
 _context_decoder: Final = msgspec.json.Decoder(MeshContext)
@@ -75,6 +80,7 @@
             lent,
             call.key,
             call.expires_wall,
+            max(0.0, (call.aim - now) * _MILLI),
         )
     )
 
@@ -93,59 +99,88 @@
     return context
 
 
-def encode_outcome(outcome: Outcome, charged: int) -> bytes:
+def encode_outcome(
+    outcome: Outcome, charged: int, load: NodeLoad | None = None, held: float = 0.0
+) -> bytes:
     """Build the header that goes back."""
+    threshold = outcome.threshold
     match outcome:
         case Answered():
-            return _encode(MeshOutcome("answered", charged, outcome.threshold))
+            found = MeshOutcome("answered", charged, threshold, load=load, held=held)
         case NotRun():
-            return _encode(
-                MeshOutcome(
-                    "not-run",
-                    charged,
-                    outcome.threshold,
-                    not_run=outcome.reason,
-                    detail=_keep_ascii(outcome.detail),
-                )
+            found = MeshOutcome(
+                "not-run",
+                charged,
+                threshold,
+                not_run=outcome.reason,
+                detail=_keep_ascii(outcome.detail),
+                retry_after=outcome.retry_after,
+                load=load,
+                held=held,
             )
         case Unknown():
-            return _encode(
-                MeshOutcome(
-                    "unknown",
-                    charged,
-                    outcome.threshold,
-                    unknown=outcome.reason,
-                    detail=_keep_ascii(outcome.detail),
-                )
+            found = MeshOutcome(
+                "unknown",
+                charged,
+                threshold,
+                unknown=outcome.reason,
+                detail=_keep_ascii(outcome.detail),
+                load=load,
+                held=held,
             )
+    return _encode(found)
 
 
-def decode_outcome(answer: Answered) -> tuple[Outcome, int] | None:
-    """Turn a node's reply into the outcome it stands for; `None` if it is none."""
+def read_outcome(answer: Answered) -> MeshOutcome | None:
+    """Return what a node's reply says of its outcome; `None` if it is none."""
     text = find_header(answer.headers, OUTCOME_HEADER)
     if text is None:
         return None
     try:
-        found = _outcome_decoder.decode(text)
+        return _outcome_decoder.decode(text)
     except msgspec.DecodeError:
         return None
+
+
+def restore_outcome(answer: Answered, found: MeshOutcome) -> Outcome:
+    """Turn a node's reply into the outcome it stands for."""
     if found.not_run is not None:
-        refused = NotRun(found.not_run, found.detail, threshold=found.threshold)
-        return refused, found.charged
+        return NotRun(
+            found.not_run,
+            found.detail,
+            threshold=found.threshold,
+            retry_after=found.retry_after,
+        )
     if found.unknown is not None:
-        unknown = Unknown(found.unknown, found.detail, threshold=found.threshold)
-        return unknown, found.charged
+        return Unknown(found.unknown, found.detail, threshold=found.threshold)
     answer.threshold = found.threshold
-    return answer, found.charged
+    return answer
+
+
+Learn = Callable[[Member, NodeLoad, float], None]
+
+
+def _ignore_load(member: Member, load: NodeLoad, way: float) -> None:
+    """Learn nothing."""
+
 
+def make_remote(
+    clock: Clock,
+    send: Send,
+    keep: Callable[[Headers], Headers] = keep_end_to_end,
+    learn: Learn = _ignore_load,
+) -> Callable[[Member, Call], Outcome]:
+    """Return a function that sends an attempt to another node.
 
-def make_remote(clock: Clock, send: Send) -> Callable[[Member, Call], Outcome]:
-    """Return a function that sends an attempt to another node."""
+    `keep` drops the headers that are not to travel; `learn` hears the load that a
+    node tells of itself and the seconds that the way there and back took.
+    """
 
     def forward(member: Member, call: Call) -> Outcome:
         lent = call.allowance.lend()
-        headers = keep_end_to_end(call.headers)
-        context = encode_context(call, lent, clock.now())
+        headers = keep(call.headers)
+        started = clock.now()
+        context = encode_context(call, lent, started)
         headers.append((CONTEXT_HEADER, context))
         outcome = send(member.mesh_address, call, headers)
         if isinstance(outcome, NotRun):
@@ -154,12 +189,13 @@
             return outcome
         if isinstance(outcome, Unknown):
             return outcome
-        decoded = decode_outcome(outcome)
-        if decoded is None:
+        found = read_outcome(outcome)
+        if found is None:
             return Unknown(UnknownReason.BAD_ANSWER, "answer without outcome header")
-        result, charged = decoded
-        call.allowance.settle(lent, charged)
-        return result
+        if found.load is not None:
+            learn(member, found.load, clock.now() - started - found.held)
+        call.allowance.settle(lent, found.charged)
+        return restore_outcome(outcome, found)
 
     return forward
 
@@ -178,6 +214,7 @@
     base.allowance = Allowance(context.allowance)
     base.key = context.key
     base.expires_wall = context.expires_wall
+    base.aim = now + context.aim_ms / _MILLI
     return base
 
 
--- a/src/fuchsiaspool/options.py
+++ b/src/fuchsiaspool/options.py
@@ -1,14 +1,23 @@
 """Read the settings of one node, which place it in the fleet."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Final, TypeVar
+
+import msgspec
 
 from .addresses import Address, AddressError, parse_address
 from .controllers.balancer import Place
 from .ids import DataCentre, NodeId, Region, ServiceName
 from .results import Err, Ok, Result
-from .settings.sections import NodeSection
+from .settings.sections import NodeSection, PlatformNodeSection
 from .settings.tree import SettingsFault, convert_section, read_ini
 
+BYTES_PER_MBIT: Final = 125_000.0
+
+S = TypeVar("S", bound=msgspec.Struct)
+O = TypeVar("O")
+
 
 @dataclass(frozen=True, slots=True)
 class NodeOptions:
@@ -27,32 +36,76 @@
     platform_region: Region = Region("")
 
 
+@dataclass(frozen=True, slots=True)
+class PlatformOptions:
+    """Hold where a node on the platform stands; times in seconds.
+
+    `link_rate` is what all nodes together may send between regions, in bytes a
+    second; `retry_slack` what they may repeat in a window besides their share.
+    """
+
+    place: Place
+    server: Address
+    outbound: Address
+    inbound: Address
+    readiness: Address
+    reports: Address
+    peers: Address
+    metrics: Address
+    platform: Address
+    contacts: tuple[Address, ...]
+    grace: float
+    heartbeat: float
+    retry_window: float
+    retry_slack: float
+    link_rate: float
+
+
 def read_options(path: str, text: str) -> Result[NodeOptions, SettingsFault]:
     """Check the text of a node's own settings."""
+    return _read(path, text, NodeSection, _build)
+
+
+def read_platform_options(
+    path: str, text: str
+) -> Result[PlatformOptions, SettingsFault]:
+    """Check the text of the settings that the platform fills in for a node."""
+    return _read(path, text, PlatformNodeSection, _build_platform)
+
+
+def _read(
+    path: str, text: str, kind: type[S], build: Callable[[S], O]
+) -> Result[O, SettingsFault]:
     parsed = read_ini(path, text)
     if isinstance(parsed, Err):
         return parsed
     if not parsed.value.has_section("node"):
         return Err(SettingsFault(path, "node", "section is missing"))
-    section = convert_section(path, parsed.value, "node", NodeSection)
+    section = convert_section(path, parsed.value, "node", kind)
     if isinstance(section, Err):
         return section
     try:
-        return Ok(_build(section.value))
+        return Ok(build(section.value))
     except AddressError as error:
         return Err(SettingsFault(path, "node", str(error)))
 
 
-def _build(section: NodeSection) -> NodeOptions:
-    place = Place(
+def _make_place(section: NodeSection | PlatformNodeSection) -> Place:
+    return Place(
         NodeId(section.id),
         ServiceName(section.service),
         DataCentre(section.data_centre),
         Region(section.region),
     )
-    contacts = [text for text in section.contacts.split(",") if text.strip()]
+
+
+def _read_contacts(text: str) -> tuple[Address, ...]:
+    return tuple(parse_address(part) for part in text.split(",") if part.strip())
+
+
+def _build(section: NodeSection) -> NodeOptions:
     return NodeOptions(
-        place,
+        _make_place(section),
         parse_address(section.callers),
         parse_address(section.mesh),
         parse_address(section.egress),
@@ -60,7 +113,27 @@
         parse_address(section.peers),
         parse_address(section.server),
         parse_address(section.platform) if section.platform else None,
-        tuple(parse_address(text) for text in contacts),
+        _read_contacts(section.contacts),
         section.grace_ms / 1000.0,
         Region(section.platform_region),
     )
+
+
+def _build_platform(section: PlatformNodeSection) -> PlatformOptions:
+    return PlatformOptions(
+        _make_place(section),
+        parse_address(section.server),
+        parse_address(section.outbound),
+        parse_address(section.inbound),
+        parse_address(section.readiness),
+        parse_address(section.reports),
+        parse_address(section.peers),
+        parse_address(section.metrics),
+        parse_address(section.platform),
+        _read_contacts(section.contacts),
+        section.grace_seconds,
+        section.heartbeat_seconds,
+        section.retry_window_seconds,
+        section.retry_slack,
+        section.link_mbit * BYTES_PER_MBIT,
+    )
--- a/src/fuchsiaspool/outcomes.py
+++ b/src/fuchsiaspool/outcomes.py
@@ -23,6 +23,8 @@
     NO_SERVER = "no-server"
     LINK_BUDGET = "link-budget"
     UNKNOWN_SERVICE = "unknown-service"
+    NO_ROUTE = "no-route"
+    WRONG_NODE = "wrong-node"
     BAD_REQUEST = "bad-request"
     BAD_CONTEXT = "bad-context"
     HEADER_TOO_LARGE = "header-too-large"
@@ -61,12 +63,16 @@
 
 @dataclass(slots=True)
 class NotRun:
-    """Say that the backend server certainly did not start the call."""
+    """Say that the backend server certainly did not start the call.
+
+    `retry_after` tells in how many seconds there may be room, if that is known.
+    """
 
     reason: NotRunReason
     detail: str = ""
     spent: int = 0
     threshold: float = NO_THRESHOLD
+    retry_after: float | None = None
 
 
 @dataclass(slots=True)
@@ -84,6 +90,7 @@
 _NOT_RUN_STATUS: Final = {
     NotRunReason.DEADLINE: 504,
     NotRunReason.UNKNOWN_SERVICE: 404,
+    NotRunReason.NO_ROUTE: 404,
     NotRunReason.BAD_REQUEST: 400,
     NotRunReason.BAD_CONTEXT: 400,
     NotRunReason.HEADER_TOO_LARGE: 431,
--- a/src/fuchsiaspool/parts.py
+++ b/src/fuchsiaspool/parts.py
@@ -31,6 +31,7 @@
 from .peers.wiring import wire_members, wire_operations
 from .platform.client import make_no_platform, make_platform
 from .replay.lines import RequestLine
+from .settings.tree import build_policy
 from .watching import SettingsWatch
 
 # How many nodes of a data centre hold a watch, and how many bridge to others.
@@ -134,7 +135,9 @@
             self._make_recording(),
         )
         self.core = build_core(parts)
-        self.keeper = SettingsKeeper(self.clock, self.core.policies.put, self.bus.send)
+        self.keeper = SettingsKeeper(
+            self.clock, build_policy, self.core.policies.put, self.bus.send
+        )
 
     def _make_recording(self) -> Filter | None:
         if self._write_trace is None:
--- /dev/null
+++ b/src/fuchsiaspool/serving.py
@@ -0,0 +1,71 @@
+"""Hand calls to the node's own backend server on the platform."""
+
+import logging
+from collections.abc import Callable
+from typing import Final
+
+from .calls import Call, Next
+from .clock import Clock
+from .controllers.backend import BackendServer, ServerState
+from .http.client import Send
+from .http.messages import Head, find_header
+from .interface import Interface
+from .outcomes import Answered, NotRun, NotRunReason, Outcome, Unknown, UnknownReason
+
+_LOG = logging.getLogger(__name__)
+_MILLI: Final = 1000.0
+_SUCCESS: Final = range(200, 300)
+_REFUSALS: Final = (429, 503)
+_OTHER_INSTANCE: Final = 421
+
+
+def make_serving(
+    clock: Clock,
+    server: BackendServer,
+    interface: Interface,
+    send: Send,
+) -> Next:
+    """Return the last step of the inbound chain."""
+    names = interface.names
+
+    def serve(call: Call) -> Outcome:
+        current = server.current
+        if current is None:
+            return NotRun(NotRunReason.NOT_READY, "no server")
+        if current.state is not ServerState.READY:
+            return NotRun(NotRunReason.LEAVING, current.instance)
+        left = int((call.deadline - clock.now()) * _MILLI)
+        if left <= 0:
+            return NotRun(NotRunReason.DEADLINE)
+        headers = interface.keep_request(call.headers)
+        headers.append((names.deadline, b"%d" % left))
+        headers.append((names.calling_service, call.caller.encode()))
+        headers.append((names.expected_instance, current.instance.encode()))
+        outcome = send(current.address, call, headers)
+        if isinstance(outcome, Answered):
+            return judge(outcome)
+        return outcome
+
+    def judge(answer: Answered) -> Outcome:
+        if answer.status == _OTHER_INSTANCE:
+            return NotRun(NotRunReason.WRONG_NODE, "another server has the address")
+        refused = find_header(answer.headers, names.not_executed) is not None
+        if refused and answer.status in _REFUSALS:
+            return NotRun(NotRunReason.SERVER_REFUSED)
+        signed = find_header(answer.headers, names.signature) is not None
+        if answer.status in _SUCCESS and not signed:
+            return Unknown(UnknownReason.BAD_ANSWER, "success without signature")
+        return answer
+
+    return serve
+
+
+def make_belongs(interface: Interface) -> Callable[[Call, Head], bool]:
+    """Return a function that tells by the echoed attempt id whose answer one is."""
+    name = interface.names.attempt
+
+    def belongs(call: Call, head: Head) -> bool:
+        echoed = find_header(head.headers, name)
+        return echoed is None or echoed == call.request
+
+    return belongs
--- a/src/fuchsiaspool/settings/sections.py
+++ b/src/fuchsiaspool/settings/sections.py
@@ -133,3 +133,41 @@
     grace_ms: Annotated[
         int, Meta(ge=0, le=3_600_000, description="Longest graceful stop, in ms.")
     ] = 30_000
+
+
+class PlatformNodeSection(Struct, frozen=True, kw_only=True, rename="kebab"):
+    """Place a node on the platform; options of a later platform are passed over."""
+
+    id: Annotated[str, Meta(min_length=1, description="Name of the node.")]
+    service: Annotated[str, Meta(min_length=1, description="Service it stands in.")]
+    data_centre: Annotated[str, Meta(min_length=1, description="Its data centre.")]
+    region: Annotated[str, Meta(min_length=1, description="Its region.")]
+    server: Annotated[str, Meta(description="Its backend server, as IP:port.")]
+    outbound: Annotated[
+        str, Meta(description="Where callers and the own server connect, as IP:port.")
+    ]
+    inbound: Annotated[str, Meta(description="Where other nodes connect.")]
+    readiness: Annotated[str, Meta(description="Where it is asked if it is ready.")]
+    reports: Annotated[str, Meta(description="Where its server's heartbeats arrive.")]
+    peers: Annotated[str, Meta(description="Where peers' messages arrive.")]
+    metrics: Annotated[str, Meta(description="Where metrics are served.")]
+    platform: Annotated[str, Meta(description="The platform's store, as IP:port.")]
+    contacts: Annotated[
+        str, Meta(description="Peers to ask at start, as IP:port, comma separated.")
+    ] = ""
+    grace_seconds: Annotated[
+        float, Meta(gt=0, le=3600, description="Longest graceful stop, in s.")
+    ] = 6.0
+    heartbeat_seconds: Annotated[
+        float, Meta(gt=0, le=3600, description="Time between heartbeats, in s.")
+    ] = 1.5
+    retry_window_seconds: Annotated[
+        float, Meta(gt=0, le=3600, description="Window of the retry bound, in s.")
+    ] = 10.0
+    retry_slack: Annotated[
+        float,
+        Meta(ge=0, description="Retries a window that all nodes may make besides."),
+    ] = 0.0
+    link_mbit: Annotated[
+        float, Meta(gt=0, description="What all nodes may send between regions.")
+    ] = 30.0
--- /dev/null
+++ b/src/fuchsiaspool/sidecar.py
@@ -0,0 +1,422 @@
+"""Run one node on the platform, beside its backend server."""
+
+import logging
+import random
+from collections.abc import Callable
+from enum import Enum
+from typing import Final
+
+import gevent
+import gevent.event
+import msgspec
+
+from .addresses import parse_address
+from .calls import Call, compose
+from .clock import SystemClock
+from .configuration import ConfigurationWatch
+from .controllers.admission import Admission
+from .controllers.attendance import make_attendance
+from .controllers.backend import BackendServer, ServerState
+from .controllers.bridging import PERIOD_SECONDS as BRIDGE_SECONDS, Bridging, is_chosen
+from .controllers.buckets import TokenBucket
+from .controllers.counters import Counters
+from .controllers.histograms import Histograms
+from .controllers.members import Member, MemberState, MemberTable
+from .controllers.membership import PERIOD_SECONDS, Membership
+from .controllers.placement import Placement
+from .controllers.registry import RENEW_SECONDS, Registry
+from .controllers.retries import RetryRatio
+from .controllers.rotation import Rotation
+from .controllers.settings import SettingsKeeper
+from .filters.admission import make_admission
+from .filters.deadline import make_deadline
+from .filters.explaining import make_explaining
+from .filters.lookup import make_lookup
+from .filters.placing import make_placing
+from .gateway import (
+    choose_platform_status,
+    make_inbound_entrance,
+    make_outbound_entrance,
+)
+from .http.client import ExchangeRules, Pool, make_send
+from .http.server import HttpServer
+from .http.speech import Speech
+from .ids import Incarnation, RouteName
+from .mesh import make_remote
+from .node_load import NodeLoad
+from .options import PlatformOptions
+from .outcomes import NotRunReason, Outcome
+from .peers.bus import PeerBus
+from .peers.transport import PeerTransport
+from .peers.wiring import wire_members
+from .platform.client import make_platform
+from .platform.configuration import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_PATH,
+    build_routes,
+)
+from .platform.pages import (
+    PageSource,
+    make_metrics_page,
+    make_readiness_page,
+    make_report_page,
+)
+from .platform.speech import PLATFORM_INTERFACE
+from .routes import EMPTY_TABLE, RouteTable
+from .serving import make_belongs, make_serving
+
+_LOG = logging.getLogger(__name__)
+# Nodes of a data centre that watch the store; the others hear from these.
+WATCHERS: Final = 4
+JOIN_SECONDS: Final = 1.0
+# Members asked for all that they know when a node starts.
+JOIN_MEMBERS: Final = 6
+# In force until the server tells its slots.
+FIRST_SLOTS: Final = 16
+QUEUE_TARGET_SECONDS: Final = 0.05
+QUEUE_WAIT_SECONDS: Final = 0.5
+SERVICE_SECONDS: Final = 0.05
+LINK_DEPTH_SECONDS: Final = 1.0
+FLUSH_SECONDS: Final = 0.5
+QUIET_SECONDS: Final = 0.02
+# Callers are sent elsewhere after two misses of a question a second.
+NOTICE_SECONDS: Final = 2.3
+# What is left of the grace for closing connections and exiting.
+EXIT_SECONDS: Final = 0.4
+# A peer's answer is awaited this much longer than the deadline that it keeps.
+PEER_GRACE_SECONDS: Final = 0.1
+PEER_IDLE_SECONDS: Final = 60.0
+SERVER_GRACE_SECONDS: Final = 0.05
+_MILLI: Final = 1000
+
+
+class NodeState(Enum):
+    """Say what a node is doing."""
+
+    STARTING = "starting"
+    READY = "ready"
+    LEAVING = "leaving"
+    STOPPED = "stopped"
+
+
+class Sidecar:
+    """Hold the parts of one node on the platform and their life."""
+
+    def __init__(self, options: PlatformOptions) -> None:
+        self.options = options
+        self.state = NodeState.STARTING
+        self.stopped = gevent.event.Event()
+        self.clock = SystemClock()
+        self.chance = random.Random(f"{options.place.node}{self.clock.wall()}")
+        self.table: RouteTable = EMPTY_TABLE
+        self._active: dict[int, Call] = {}
+        self._tasks: list[gevent.Greenlet] = []
+        self.histograms = Histograms()
+        self.counters = Counters()
+        self.members = MemberTable()
+        self.server = BackendServer(options.place.service, options.server)
+        self._build_peers()
+        self._build_chains()
+        self._build_listeners()
+
+    # What decides about calls, in the order in which a call meets it.
+
+    def _build_chains(self) -> None:
+        options, clock = self.options, self.clock
+        interface = PLATFORM_INTERFACE
+        self.admission = Admission(
+            clock, FIRST_SLOTS, QUEUE_TARGET_SECONDS, QUEUE_WAIT_SECONDS
+        )
+        self.link = TokenBucket(clock, options.link_rate, options.link_rate)
+        self.placement = Placement(
+            clock,
+            options.place,
+            self.members.list_service,
+            self.link,
+            self.find_load,
+            self.chance,
+        )
+        self.rotation = Rotation(self.chance)
+        self.ratio = RetryRatio(clock)
+        self.pool = Pool()
+        to_server = ExchangeRules(
+            make_belongs(interface), by_close=True, grace=SERVER_GRACE_SECONDS
+        )
+        to_peer = ExchangeRules(grace=PEER_GRACE_SECONDS)
+        self._inbound = compose(
+            [
+                make_deadline(clock),
+                make_admission(clock, self.admission, self._find_refusal),
+            ],
+            make_serving(
+                clock, self.server, interface, make_send(self.pool, clock, to_server)
+            ),
+        )
+        remote = make_remote(
+            clock,
+            make_send(self.pool, clock, to_peer),
+            interface.keep_request,
+            self.placement.learn,
+        )
+
+        def forward(member: Member, call: Call) -> Outcome:
+            if member.node == options.place.node:
+                return self._inbound(call)
+            return remote(member, call)
+
+        self._outbound = compose(
+            [
+                make_explaining(
+                    clock, self.histograms, self.counters, lambda: self.table
+                ),
+                make_lookup(lambda: self.table, self.rotation),
+                make_deadline(clock),
+            ],
+            make_placing(clock, self.placement, self.ratio, forward),
+        )
+
+    def _build_listeners(self) -> None:
+        options, clock = self.options, self.clock
+        own, interface = options.place.service, PLATFORM_INTERFACE
+        to_callers = Speech(
+            interface.keep_answer,
+            choose_platform_status,
+            interface.format_retry_after,
+            lambda: self.table.limits.idle_timeout,
+        )
+        self._outbound_server = HttpServer(
+            options.outbound,
+            make_outbound_entrance(
+                clock, interface, own, self._outbound, self._track
+            ),
+            speech=to_callers,
+        )
+        to_peers = Speech(
+            interface.keep_answer,
+            choose_platform_status,
+            interface.format_retry_after,
+            lambda: PEER_IDLE_SECONDS,
+        )
+        self._inbound_server = HttpServer(
+            options.inbound,
+            make_inbound_entrance(
+                clock, interface, own, self._inbound, self._track, self.find_load
+            ),
+            speech=to_peers,
+        )
+        source = PageSource(
+            lambda: self.state is NodeState.READY,
+            self.server.take_report,
+            self.server.take_departure,
+            self.format_metrics,
+        )
+        self._pages = [
+            make_readiness_page(options.readiness, source),
+            make_report_page(options.reports, source),
+            make_metrics_page(options.metrics, source),
+        ]
+
+    # Who else is there, and what is in force.
+
+    def _build_peers(self) -> None:
+        options, clock = self.options, self.clock
+        place = options.place
+        self.platform = make_platform(options.platform, clock, self.chance)
+        self.bus = PeerBus(
+            place,
+            options.peers,
+            lambda address, data: self.transport.send(address, data),
+        )
+        self.transport = PeerTransport(options.peers, self.bus.receive)
+        own = Member(
+            place.node,
+            place.service,
+            place.data_centre,
+            place.region,
+            str(options.inbound),
+            str(options.peers),
+            Incarnation(int(clock.wall() * _MILLI)),
+            MemberState.LEAVING,
+        )
+        self.membership = Membership(
+            clock, own, self.members, self.chance, self.bus.send
+        )
+        self.bridging = Bridging(
+            lambda: self.membership.own, self.members, self.chance, self.bus.send
+        )
+        self.keeper: SettingsKeeper[RouteTable] = SettingsKeeper(
+            clock, build_routes, self._put_table, self.bus.send
+        )
+        wire_members(self.bus, self.membership, self.bridging, self.keeper)
+        self.registry = Registry(
+            clock, self.platform, self.members, lambda: self.membership.own
+        )
+        self.watch = ConfigurationWatch(
+            clock,
+            self.platform,
+            CONFIGURATION_KEY,
+            CONFIGURATION_PATH,
+            self.keeper,
+            self._is_watcher,
+            self.chance,
+        )
+        self.server.listen(
+            make_attendance(
+                self.server,
+                self.membership,
+                lambda: self.state in (NodeState.LEAVING, NodeState.STOPPED),
+            )
+        )
+        self.server.listen(self._take_slots)
+        self.members.listen(self._note_member)
+
+    def start(self) -> None:
+        """Listen, join, take the newest configuration, then serve."""
+        for page in self._pages:
+            page.start()
+        self.transport.start()
+        self._outbound_server.start()
+        self._inbound_server.start()
+        self._spawn(self._join_loop)
+        self._spawn(self.watch.loop)
+        self._spawn(self._repeat, PERIOD_SECONDS, self.membership.tick)
+        self._spawn(self._repeat, BRIDGE_SECONDS, self.bridging.tick)
+        self._spawn(self._repeat, FLUSH_SECONDS, self.histograms.flush)
+        _LOG.info("started", extra={"node": self.options.place.node})
+
+    def stop(self) -> None:
+        """Take no new work, let all in flight finish, then stop; block meanwhile."""
+        if self.state in (NodeState.LEAVING, NodeState.STOPPED):
+            return
+        self.state = NodeState.LEAVING
+        _LOG.info("leaving", extra={"in_flight": len(self._active)})
+        started = self.clock.now()
+        last = started + self.options.grace - EXIT_SECONDS
+        self.membership.leave()
+        gevent.spawn(self.registry.withdraw)
+        self._inbound_server.wind_down()
+        self._outbound_server.wind_down()
+        # Callers still come until the platform has noticed.
+        gevent.sleep(min(NOTICE_SECONDS, self.options.grace / 2))
+        while self._active and self.clock.now() < last:
+            gevent.sleep(QUIET_SECONDS)
+        self._inbound_server.stop_accepting()
+        self._outbound_server.stop_accepting()
+        while self._active and self.clock.now() < last:
+            gevent.sleep(QUIET_SECONDS)
+        for call in self._active.values():
+            _LOG.error("call cut off", extra={"request": call.request})
+        self.state = NodeState.STOPPED
+        gevent.killall(self._tasks, block=False)
+        _LOG.info("stopped", extra={"seconds": self.clock.now() - started})
+        self.stopped.set()
+
+    def reload(self, options: PlatformOptions) -> None:
+        """Take changed settings; what places the node holds until its next start."""
+        changed = options != self.options
+        _LOG.info("settings reloaded", extra={"changed": changed})
+
+    # What runs beside the calls.
+
+    def _join_loop(self) -> None:
+        announced = False
+        while True:
+            announced = self.registry.announce()
+            if self.registry.read_members():
+                self._join_some()
+            if self.keeper.revision > 0 and self.state is NodeState.STARTING:
+                self.state = NodeState.READY
+                _LOG.info("ready", extra={"revision": self.keeper.revision})
+            pause = RENEW_SECONDS if announced else JOIN_SECONDS
+            gevent.sleep(pause * self.chance.uniform(0.8, 1.2))
+
+    def _join_some(self) -> None:
+        others = [
+            member
+            for member in self.members.list_all()
+            if member.node != self.options.place.node
+        ]
+        chosen = self.chance.sample(others, min(JOIN_MEMBERS, len(others)))
+        self.membership.join(tuple(parse_address(m.peers) for m in chosen))
+
+    def _put_table(self, table: RouteTable) -> bool:
+        self.table = table
+        names = {r.name for routes in table.hosts.values() for r in routes}
+        self.rotation.forget({RouteName(name) for name in names})
+        self.membership.push_news()
+        if self.state is NodeState.STARTING:
+            self.state = NodeState.READY
+            _LOG.info("ready", extra={"revision": table.revision})
+        return True
+
+    def _take_slots(self) -> None:
+        current = self.server.current
+        if current is not None:
+            self.admission.configure(
+                current.slots, QUEUE_TARGET_SECONDS, QUEUE_WAIT_SECONDS
+            )
+
+    def _note_member(self, member: Member) -> None:
+        if member.state is MemberState.DEAD:
+            self.placement.forget(member.node)
+            self.pool.forget(member.mesh_address)
+        elif member.state is MemberState.ALIVE:
+            self.placement.welcome(member.node)
+
+    def _is_watcher(self) -> bool:
+        place = self.options.place
+        members = [
+            msgspec.structs.replace(m, state=MemberState.ALIVE)
+            for m in self.members.list_all()
+            if m.state in (MemberState.ALIVE, MemberState.LEAVING)
+        ]
+        return is_chosen(place.node, place.data_centre, members, "watch", WATCHERS)
+
+    def _repeat(self, seconds: float, action: Callable[[], None]) -> None:
+        gevent.sleep(seconds * self.chance.random())
+        while True:
+            action()
+            gevent.sleep(seconds)
+
+    def _spawn(self, action: Callable[..., object], *args: object) -> None:
+        self._tasks.append(gevent.spawn(action, *args))
+
+    def _find_refusal(self) -> NotRunReason | None:
+        if self.server.state is ServerState.DRAINING:
+            return NotRunReason.LEAVING
+        return None
+
+    def _track(self, call: Call) -> Callable[[], None]:
+        self._active[id(call)] = call
+        return lambda: self._untrack(call)
+
+    def _untrack(self, call: Call) -> None:
+        self._active.pop(id(call), None)
+
+    # What others see.
+
+    def find_load(self) -> NodeLoad:
+        """Describe how loaded the own server is."""
+        admission = self.admission
+        return NodeLoad(
+            float(admission.in_flight + admission.queued),
+            admission.limit.value,
+            admission.service_seconds or SERVICE_SECONDS,
+        )
+
+    def format_metrics(self) -> str:
+        """Return counters and latencies as text, one figure a line."""
+        lines = [
+            f"in_flight {self.admission.in_flight}",
+            f"queued {self.admission.queued}",
+            f"limit {self.admission.limit.value:.1f}",
+            f"log_configuration_revision {self.keeper.revision}",
+        ]
+        for name, counts in sorted(self.counters.classes.items()):
+            lines.append(f'answered{{class="{name}"}} {counts.answered}')
+            lines.append(f'failed{{class="{name}"}} {counts.failed}')
+            for reason, count in sorted(counts.not_run.items()):
+                lines.append(f'not_run{{class="{name}",reason="{reason}"}} {count}')
+            for reason, count in sorted(counts.unknown.items()):
+                lines.append(f'unknown{{class="{name}",reason="{reason}"}} {count}')
+        return "\n".join(lines) + "\n"
--- a/src/fuchsiaspool/standins/fleet.py
+++ b/src/fuchsiaspool/standins/fleet.py
@@ -13,6 +13,7 @@
 from ..controllers.settings import SettingsKeeper
 from ..ids import DataCentre, Incarnation, NodeId, Region, ServiceName
 from ..peers.bus import PeerBus
+from ..settings.tree import build_policy
 from ..peers.wiring import wire_members
 
 FIRST_PORT = 1000
@@ -52,7 +53,9 @@
         self.bridging = Bridging(
             lambda: self.membership.own, self.table, chance, self.bus.send
         )
-        self.keeper = SettingsKeeper(clock, self.policies.put, self.bus.send)
+        self.keeper = SettingsKeeper(
+            clock, build_policy, self.policies.put, self.bus.send
+        )
         self.policies.listen(lambda policy: self.membership.push_news())
         wire_members(self.bus, self.membership, self.bridging, self.keeper)
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -20,6 +20,7 @@
 from fuchsiaspool.watching import SettingsWatch
 
 from .fakes import FakePlatform, Fault
+from fuchsiaspool.settings.tree import build_policy
 from .support import TEXTS, make_member
 
 CRASH_OUT_SECONDS = 10
@@ -363,7 +364,9 @@
             self.clock.sleep(START_SPREAD_SECONDS * chance.random())
             registry, table = self.make(f"n{number}", incarnation=number)
             registry.read_members()
-            keeper = SettingsKeeper(self.clock, lambda p: True, lambda to, body: None)
+            keeper = SettingsKeeper(
+                self.clock, build_policy, lambda p: True, lambda to, body: None
+            )
             SettingsWatch(self.clock, platform, keeper, lambda: False, chance).load()
             registry.announce()
             ready.append(keeper.revision)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -169,7 +169,9 @@
     def setUp(self):
         self.clock = PausedClock()
         self.policies = []
-        self.keeper = SettingsKeeper(self.clock, self.put, lambda to, body: None)
+        self.keeper = SettingsKeeper(
+            self.clock, build_policy, self.put, lambda to, body: None
+        )
 
     def put(self, policy):
         self.policies.append(policy.revision)
