--- a/src/fuchsiaspool/controllers/placement.py
+++ b/src/fuchsiaspool/controllers/placement.py
@@ -5,6 +5,7 @@
 longer than the way, and a server that fails part of its calls counts as slow.
 """
 
+import math
 import random
 from collections.abc import Callable, Set
 from dataclasses import dataclass
@@ -29,6 +30,8 @@
 # What a crossing between regions costs besides its time: the link is narrow and
 # paid by volume. In seconds of waiting that it is worth.
 CROSSING_SECONDS: Final = 0.02
+# The same for bytes between data centres of a region, which some sites pay dearly.
+CENTRE_SECONDS: Final = 0.008
 # Costs this close are taken for equal, in seconds and as a share of the least.
 CLOSE_SECONDS: Final = 0.004
 CLOSE_SHARE: Final = 0.2
@@ -70,7 +73,7 @@
     def find_busy(self, now: float) -> float:
         """Estimate the calls at the node: its last report, faded, and the own since."""
         age = max(0.0, now - self.reported_at)
-        faded = self.load.busy * 0.5 ** (age / REPORT_HALF_SECONDS)
+        faded = self.load.busy * math.pow(0.5, age / REPORT_HALF_SECONDS)
         since = self.in_flight - self.in_flight_reported
         return max(float(self.in_flight), faded + since)
 
@@ -79,7 +82,7 @@
         if self.failing < 0.01:
             return 0.0
         age = max(0.0, now - self.failed_at)
-        return self.failing * float(0.5 ** (age / FAILURE_HALF_SECONDS))
+        return self.failing * math.pow(0.5, age / FAILURE_HALF_SECONDS)
 
 
 def estimate_delay(load: NodeLoad, busy: float) -> float:
@@ -210,6 +213,8 @@
             cost = track.way + estimate_delay(track.load, track.find_busy(now))
         if self._is_crossing(member):
             cost += CROSSING_SECONDS
+        elif member.data_centre != self._place.data_centre:
+            cost += CENTRE_SECONDS
         return cost + track.find_failing(now) * FAILURE_SECONDS
 
     def _find_load(self, member: Member) -> NodeLoad:
--- a/src/fuchsiaspool/mesh.py
+++ b/src/fuchsiaspool/mesh.py
@@ -33,7 +33,7 @@
     """Tell that an internal header is missing or malformed."""
 
 
-class MeshContext(msgspec.Struct, frozen=True, omit_defaults=True):
+class MeshContext(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
     """Describe a call to the next node; `deadline_ms` is what remains."""
 
     request: RequestId
@@ -48,7 +48,7 @@
     aim_ms: float = 0.0
 
 
-class MeshOutcome(msgspec.Struct, frozen=True, omit_defaults=True):
+class MeshOutcome(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
     """Describe an outcome to the node before; `held` is the seconds spent here."""
 
     tag: str
--- a/src/fuchsiaspool/peers/wiring.py
+++ b/src/fuchsiaspool/peers/wiring.py
@@ -1,5 +1,7 @@
 """Connect the controllers that peers talk to with the bus."""
 
+from typing import Any
+
 from ..controllers.bridging import Bridging
 from ..controllers.membership import Membership
 from ..controllers.settings import SettingsKeeper
@@ -19,7 +21,7 @@
 
 
 def wire_members(
-    bus: PeerBus, membership: Membership, bridging: Bridging, keeper: SettingsKeeper
+    bus: PeerBus, membership: Membership, bridging: Bridging, keeper: SettingsKeeper[Any]
 ) -> None:
     """Let members and settings travel on the bus."""
     bus.ride(
--- a/src/fuchsiaspool/standins/platform.py
+++ b/src/fuchsiaspool/standins/platform.py
@@ -228,7 +228,7 @@
             bottle.abort(500, "cut")
         found = self.store.watch(f"{kind}/", since, milliseconds / 1000)
         if found is None:
-            bottle.abort(410, "this history is gone")
+            raise bottle.HTTPError(410, "this history is gone")
         if self.faults.down:
             bottle.abort(503, "down")
         events = [
--- a/src/fuchsiaspool/watching.py
+++ b/src/fuchsiaspool/watching.py
@@ -10,6 +10,7 @@
 from .platform.objects import ObjectKey, Platform, ReadFault
 from .results import Err, Ok
 from .settings.objects import PREFIX, ROOT_KEY
+from .settings.policy import Policy
 from .settings.store import load_tree
 
 WATCH_SECONDS: Final = 30.0
@@ -24,7 +25,7 @@
         self,
         clock: Clock,
         platform: Platform,
-        keeper: SettingsKeeper,
+        keeper: SettingsKeeper[Policy],
         is_watcher: Callable[[], bool],
         chance: random.Random,
     ) -> None:
