Turn work away at the entrance when the deepest service saturates

Calls that a server makes now count as part of the request it serves (its id extends the parent's, believed only while the parent is in service), keep its rank and deadline, and are not shed after work was done; a level per server falls with the expected wait and is learned upstream; known slots are a fixed room.

--- a/src/fuchsiaspool/calls.py
+++ b/src/fuchsiaspool/calls.py
@@ -55,6 +55,8 @@
 class Call:
     """Hold what filters need to decide about a call.
 
+    `request` names the caller's request, `attempt` this sending of it or of a call
+    made for it; `nested` tells the latter.
     `aim` is the moment until which an answer is worth most; `attempts` bounds the
     servers that it may be sent to; `trail` notes where it was sent and what came.
     """
@@ -82,6 +84,8 @@
     expires_wall: float | None = None
     children: int = 0
     host: str = ""
+    attempt: str = ""
+    nested: bool = False
     aim: float = 0.0
     attempts: int = 1
     trail: list[str] = field(default_factory=list)
--- a/src/fuchsiaspool/controllers/admission.py
+++ b/src/fuchsiaspool/controllers/admission.py
@@ -8,11 +8,14 @@
 from ..calls import Call
 from ..clock import Clock, Waiter
 from ..outcomes import NO_THRESHOLD, NotRun, NotRunReason
+from .level import AdmissionLevel
 from .limit import ConcurrencyLimit
 from .threshold import SheddingThreshold
 
 QUEUE_PER_SLOT: Final = 4
 QUEUE_LEAST: Final = 16
+# How far a nested call goes ahead of others of its class, in ranks.
+NESTED_AHEAD: Final = 1.0
 _ESTIMATE_GAIN: Final = 0.1
 
 _Order = tuple[int, float, float, int]
@@ -30,17 +33,27 @@
 class Admission:
     """Hold the in-flight count, the queue and the shedding threshold.
 
+    With `learns_room` the limit follows the server's refusals, below its slots;
+    without, the slots are known and a refusal tells nothing of the room.
+
     Waiting calls are ordered by class; among critical ones the caller with the
     fewest calls here goes first, among others the request's own hash decides,
     so that one request meets the same verdict at every hop.
     """
 
     def __init__(
-        self, clock: Clock, slots: int, queue_target: float, queue_wait: float
+        self,
+        clock: Clock,
+        slots: int,
+        queue_target: float,
+        queue_wait: float,
+        learns_room: bool = True,
     ) -> None:
         self.limit = ConcurrencyLimit(clock, slots)
         self.in_flight = 0
         self.shedding = SheddingThreshold(clock, queue_target)
+        self.level = AdmissionLevel(clock, queue_target)
+        self._learns_room = learns_room
         self._clock = clock
         self._queue_wait = queue_wait
         self._queue: SortedList[_Entry] = SortedList(key=lambda entry: entry.order)
@@ -51,13 +64,19 @@
     @property
     def threshold(self) -> float:
         """Return the rank above which calls are shed."""
-        return self.shedding.value
+        return self.shedding.value if self._learns_room else self.level.value
 
     @property
     def queued(self) -> int:
         """Return how many calls wait."""
         return len(self._queue)
 
+    @property
+    def expected_wait(self) -> float:
+        """Return the seconds that one more call would wait for a slot."""
+        ahead = self.in_flight + len(self._queue) + 1 - self.limit.value
+        return max(0.0, ahead) * self._estimate / self.limit.value
+
     @property
     def service_seconds(self) -> float:
         """Return the mean time that a call spends at the server."""
@@ -77,8 +96,11 @@
 
     def enter(self, call: Call) -> NotRun | None:
         """Wait for a slot; return a refusal where there is none in time."""
-        self.shedding.offer(call.rank)
-        if not call.critical and call.rank > self.shedding.value:
+        if self._learns_room:
+            self.shedding.offer(call.rank)
+        else:
+            self.level.observe(call.rank, self.expected_wait)
+        if not call.critical and not call.nested and call.rank > self.threshold:
             return self._refuse(NotRunReason.SHED)
         if self.free:
             self.shedding.mark_drained()
@@ -90,8 +112,9 @@
         """Return a slot after `seconds`; `refused` if the server had no room."""
         self.in_flight -= 1
         self._forget_caller(call)
-        self.shedding.complete()
-        self.limit.observe(refused, self.in_flight + 1)
+        if self._learns_room:
+            self.shedding.complete()
+            self.limit.observe(refused, self.in_flight + 1)
         if ran:
             self._estimate += (seconds - self._estimate) * _ESTIMATE_GAIN
         self._admit_waiting()
@@ -124,6 +147,9 @@
         self._sequence += 1
         priority = int(call.rank)
         share = float(self._callers.get(call.caller, 0)) if call.critical else 0.0
+        if call.nested:
+            # Half-done work goes before new work of the same class.
+            return (priority, share, call.rank - NESTED_AHEAD, self._sequence)
         return (priority, share, call.rank, self._sequence)
 
     def _make_room(self, entry: _Entry) -> bool:
@@ -175,4 +201,4 @@
             self._callers.pop(call.caller, None)
 
     def _refuse(self, reason: NotRunReason) -> NotRun:
-        return NotRun(reason, threshold=min(self.shedding.value, NO_THRESHOLD))
+        return NotRun(reason, threshold=min(self.threshold, NO_THRESHOLD))
--- a/src/fuchsiaspool/controllers/contexts.py
+++ b/src/fuchsiaspool/controllers/contexts.py
@@ -27,9 +27,13 @@
     def open(self, call: Call) -> tuple[Token, Context]:
         """Give a call in service its token."""
         token = Token(f"{self._prefix}-{next(self._numbers):x}")
+        return token, self.hold(token, call)
+
+    def hold(self, token: Token, call: Call) -> Context:
+        """Note a call in service under a token that it has already."""
         context = Context(call)
         self._open[token] = context
-        return token, context
+        return context
 
     def find(self, token: Token) -> Context | None:
         """Return the call in service that a token names."""
--- /dev/null
+++ b/src/fuchsiaspool/controllers/level.py
@@ -0,0 +1,58 @@
+"""Choose the rank above which requests are turned away at the entrance.
+
+Answers the load pattern in which a service deep in the call chains saturates: its
+queue grows, calls that have used up work elsewhere fail there, and callers repeat
+them. The level falls in steps that grow with the wait and rises in small ones, so
+that only as many requests begin as the deepest service can finish.
+"""
+
+from typing import Final
+
+from ..clock import Clock
+from ..outcomes import NO_THRESHOLD
+
+# One step of control, in seconds; a chain of calls answers within a few of them.
+STEP_SECONDS: Final = 0.05
+# Falls a step by this, times the wait over the target, at most the largest fall.
+FALL: Final = 0.04
+LARGEST_FALL: Final = 0.15
+RISE: Final = 0.015
+# Ranks below this are critical and never turned away by the level.
+LEAST_LEVEL: Final = 1.0
+
+
+class AdmissionLevel:
+    """Follow the expected wait at one server and hold the level it calls for."""
+
+    def __init__(self, clock: Clock, target: float) -> None:
+        self.value = NO_THRESHOLD
+        self._clock = clock
+        self._target = target
+        self._worst_wait = 0.0
+        self._top = LEAST_LEVEL
+        self._stepped = clock.now()
+
+    def set_target(self, target: float) -> None:
+        """Take another wait, in seconds, for the longest that is well."""
+        self._target = target
+
+    def observe(self, rank: float, wait: float) -> None:
+        """Note an arriving call of a rank, and the wait that it meets in seconds."""
+        # Turning away starts at the least important class that is there.
+        self._top = max(self._top, float(int(rank) + 1))
+        self._worst_wait = max(self._worst_wait, wait)
+        now = self._clock.now()
+        steps = int((now - self._stepped) / STEP_SECONDS)
+        if steps < 1:
+            return
+        self._stepped = now
+        excess = self._worst_wait / self._target
+        if excess > 1.0:
+            start = min(self.value, self._top)
+            fall = min(LARGEST_FALL, FALL * excess)
+            self.value = max(LEAST_LEVEL, start - fall)
+        elif self.value < NO_THRESHOLD:
+            self.value += RISE * steps
+            if self.value >= self._top:
+                self.value = NO_THRESHOLD
+        self._worst_wait = 0.0
--- a/src/fuchsiaspool/controllers/placement.py
+++ b/src/fuchsiaspool/controllers/placement.py
@@ -112,9 +112,7 @@
         self._find_own_load = find_own_load
         self._chance = chance
         self._tracks: dict[NodeId, _Track] = {}
-        self._subsets: dict[
-            ServiceName, tuple[tuple[Member, ...], list[Member]]
-        ] = {}
+        self._subsets: dict[ServiceName, tuple[tuple[Member, ...], list[Member]]] = {}
 
     def choose(self, call: Call, excluded: Set[NodeId]) -> Member | NotRunReason:
         """Return the node for the next attempt, or why there is none."""
--- a/src/fuchsiaspool/filters/lookup.py
+++ b/src/fuchsiaspool/filters/lookup.py
@@ -22,8 +22,11 @@
         call.operation = OperationName(route.name)
         call.call_class = ClassName(route.name)
         call.idempotent = route.idempotent
-        call.rank = compute_rank(min(route.priority, 7), call.request)
-        call.critical = route.priority == 0
+        # A nested call keeps the rank of the request it is made for.
+        if not call.classified:
+            call.rank = compute_rank(min(route.priority, 7), call.request)
+            call.critical = route.priority == 0
+            call.classified = True
         call.attempts = route.attempts
         call.aim = call.start + route.target_latency
         call.deadline = min(call.deadline, call.start + route.timeout)
--- a/src/fuchsiaspool/filters/shedding.py
+++ b/src/fuchsiaspool/filters/shedding.py
@@ -10,7 +10,8 @@
 
     def shed(call: Call, following: Next) -> Outcome:
         threshold = learned.find(call.service, call.operation)
-        if not call.critical and call.rank > threshold:
+        # Of a nested call the work above is done already: it is not wasted here.
+        if not call.critical and not call.nested and call.rank > threshold:
             detail = "shed before sending"
             return NotRun(NotRunReason.SHED, detail, threshold=threshold)
         outcome = following(call)
--- a/src/fuchsiaspool/gateway.py
+++ b/src/fuchsiaspool/gateway.py
@@ -8,9 +8,10 @@
 from .allowance import Allowance
 from .calls import Call, Next
 from .clock import Clock
+from .controllers.contexts import Context, Contexts
 from .http.messages import find_header
 from .http.server import Handle, Reply, Request
-from .ids import CallerId, RequestId, ServiceName
+from .ids import CallerId, RequestId, ServiceName, Token
 from .interface import Interface
 from .mesh import (
     OUTCOME_HEADER,
@@ -19,6 +20,7 @@
     encode_outcome,
     open_call,
 )
+from .nesting import inherit
 from .node_load import NodeLoad
 from .outcomes import NotRun, NotRunReason, Outcome, Unknown, choose_status
 
@@ -36,9 +38,13 @@
     interface: Interface,
     own: ServiceName,
     outbound: Next,
+    contexts: Contexts,
     track: Track,
 ) -> Handle:
-    """Return the handler for requests that begin on this instance."""
+    """Return the handler for requests that begin on this instance.
+
+    Calls that the own server makes are taken for part of the request it serves.
+    """
 
     def handle(request: Request) -> Reply:
         headers = request.head.headers
@@ -48,7 +54,19 @@
         call.from_outside = True
         call.deadline = clock.now() + _read_seconds(headers, interface.names.deadline)
         finish = _make_finish(call, track(call))
-        return Reply(_guard(call, outbound, finish), [], finish)
+        context = _find_parent(contexts, call.attempt)
+        if context is None:
+            return Reply(_guard(call, outbound, finish), [], finish)
+        call.nested = True
+        call.from_outside = False
+        inherit(call, context.call)
+        # The server is told who calls it, not who began the request.
+        call.caller = CallerId(own)
+        forget = context.call.cancellation.add(call.cancellation.cancel)
+        outcome = _guard(call, outbound, finish)
+        forget()
+        context.threshold = min(context.threshold, outcome.threshold)
+        return Reply(outcome, [], finish)
 
     return handle
 
@@ -85,6 +103,13 @@
     return handle
 
 
+def _find_parent(contexts: Contexts, attempt: str) -> Context | None:
+    # Ids of calls extend the id of the request they are made for. Nobody promises
+    # that, so it counts only if that request is being served here at this moment.
+    parent, dot, _ = attempt.rpartition(".")
+    return contexts.find(Token(parent)) if dot else None
+
+
 def choose_platform_status(outcome: NotRun | Unknown) -> int:
     """Return 503 wherever nothing was run, so that a caller may safely come back."""
     status = choose_status(outcome)
@@ -99,7 +124,7 @@
     now = clock.now()
     head = request.head
     attempt = find_header(head.headers, interface.names.attempt)
-    return Call(
+    call = Call(
         RequestId(attempt or f"{_PREFIX}-{next(_numbers):x}"),
         CallerId(own),
         own,
@@ -112,6 +137,8 @@
         Allowance(0),
         cancellation=request.cancellation,
     )
+    call.attempt = attempt or ""
+    return call
 
 
 def _read_seconds(headers: list[tuple[bytes, bytes]], name: bytes) -> float:
--- a/src/fuchsiaspool/http/server.py
+++ b/src/fuchsiaspool/http/server.py
@@ -179,9 +179,7 @@
             reply = self._handle(request)
             watcher.stop()
             keep = request.head.keep_alive and not self.stopping and reader.complete
-            whole = _deliver(
-                socket, request.head.method, reply, keep, self._speech
-            )
+            whole = _deliver(socket, request.head.method, reply, keep, self._speech)
             return keep and whole
         finally:
             watcher.stop()
--- a/src/fuchsiaspool/logs.py
+++ b/src/fuchsiaspool/logs.py
@@ -84,7 +84,11 @@
         data = b"".join(lines)
         if self.dropped:
             dropped, self.dropped = self.dropped, 0
-            note = {"level": "warning", "message": "log lines dropped", "count": dropped}
+            note = {
+                "level": "warning",
+                "message": "log lines dropped",
+                "count": dropped,
+            }
             data += msgspec.json.encode(note) + b"\n"
         try:
             taken = self._write(data)
--- a/src/fuchsiaspool/mesh.py
+++ b/src/fuchsiaspool/mesh.py
@@ -46,6 +46,7 @@
     key: OperationKey | None = None
     expires_wall: float | None = None
     aim_ms: float = 0.0
+    nested: bool = False
 
 
 class MeshOutcome(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
@@ -81,6 +82,7 @@
             call.key,
             call.expires_wall,
             max(0.0, (call.aim - now) * _MILLI),
+            call.nested,
         )
     )
 
@@ -215,6 +217,7 @@
     base.key = context.key
     base.expires_wall = context.expires_wall
     base.aim = now + context.aim_ms / _MILLI
+    base.nested = context.nested
     return base
 
 
--- a/src/fuchsiaspool/options.py
+++ b/src/fuchsiaspool/options.py
@@ -16,7 +16,7 @@
 BYTES_PER_MBIT: Final = 125_000.0
 
 S = TypeVar("S", bound=msgspec.Struct)
-O = TypeVar("O")
+T = TypeVar("T")
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,8 +74,8 @@
 
 
 def _read(
-    path: str, text: str, kind: type[S], build: Callable[[S], O]
-) -> Result[O, SettingsFault]:
+    path: str, text: str, kind: type[S], build: Callable[[S], T]
+) -> Result[T, SettingsFault]:
     parsed = read_ini(path, text)
     if isinstance(parsed, Err):
         return parsed
--- a/src/fuchsiaspool/peers/wiring.py
+++ b/src/fuchsiaspool/peers/wiring.py
@@ -21,7 +21,10 @@
 
 
 def wire_members(
-    bus: PeerBus, membership: Membership, bridging: Bridging, keeper: SettingsKeeper[Any]
+    bus: PeerBus,
+    membership: Membership,
+    bridging: Bridging,
+    keeper: SettingsKeeper[Any],
 ) -> None:
     """Let members and settings travel on the bus."""
     bus.ride(
--- a/src/fuchsiaspool/platform/client.py
+++ b/src/fuchsiaspool/platform/client.py
@@ -140,7 +140,11 @@
         return Ok(Events(Version(found.value.at), events))
 
     def _read(
-        self, path: str, limit: float, decode: Callable[[bytes], T], tries: int = READ_TRIES
+        self,
+        path: str,
+        limit: float,
+        decode: Callable[[bytes], T],
+        tries: int = READ_TRIES,
     ) -> Result[T, ReadFault]:
         for attempt in range(tries):
             if attempt:
--- a/src/fuchsiaspool/platform/wire.py
+++ b/src/fuchsiaspool/platform/wire.py
@@ -78,7 +78,9 @@
     version: str = ""
 
 
-class BeatStatus(msgspec.Struct, frozen=True, rename={"cold_remaining": "coldRemainingS"}):
+class BeatStatus(
+    msgspec.Struct, frozen=True, rename={"cold_remaining": "coldRemainingS"}
+):
     """Hold a backend server's own state; `cold_remaining` in seconds."""
 
     state: str
--- a/src/fuchsiaspool/serving.py
+++ b/src/fuchsiaspool/serving.py
@@ -7,8 +7,10 @@
 from .calls import Call, Next
 from .clock import Clock
 from .controllers.backend import BackendServer, ServerState
+from .controllers.contexts import Contexts
 from .http.client import Send
 from .http.messages import Head, find_header
+from .ids import Token
 from .interface import Interface
 from .outcomes import Answered, NotRun, NotRunReason, Outcome, Unknown, UnknownReason
 
@@ -23,6 +25,7 @@
     clock: Clock,
     server: BackendServer,
     interface: Interface,
+    contexts: Contexts,
     send: Send,
 ) -> Next:
     """Return the last step of the inbound chain."""
@@ -41,9 +44,15 @@
         headers.append((names.deadline, b"%d" % left))
         headers.append((names.calling_service, call.caller.encode()))
         headers.append((names.expected_instance, current.instance.encode()))
-        outcome = send(current.address, call, headers)
+        token = Token(call.attempt)
+        context = contexts.hold(token, call)
+        try:
+            outcome = send(current.address, call, headers)
+        finally:
+            contexts.close(token)
         if isinstance(outcome, Answered):
-            return judge(outcome)
+            outcome = judge(outcome)
+        outcome.threshold = min(outcome.threshold, context.threshold)
         return outcome
 
     def judge(answer: Answered) -> Outcome:
@@ -66,6 +75,6 @@
 
     def belongs(call: Call, head: Head) -> bool:
         echoed = find_header(head.headers, name)
-        return echoed is None or echoed == call.request
+        return echoed is None or echoed == call.attempt
 
     return belongs
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -19,6 +19,7 @@
 from .controllers.backend import BackendServer, ServerState
 from .controllers.bridging import PERIOD_SECONDS as BRIDGE_SECONDS, Bridging, is_chosen
 from .controllers.buckets import TokenBucket
+from .controllers.contexts import Contexts
 from .controllers.counters import Counters
 from .controllers.histograms import Histograms
 from .controllers.members import Member, MemberState, MemberTable
@@ -28,11 +29,13 @@
 from .controllers.retries import RetryRatio
 from .controllers.rotation import Rotation
 from .controllers.settings import SettingsKeeper
+from .controllers.threshold import LearnedThresholds
 from .filters.admission import make_admission
 from .filters.deadline import make_deadline
 from .filters.explaining import make_explaining
 from .filters.lookup import make_lookup
 from .filters.placing import make_placing
+from .filters.shedding import make_shedding
 from .gateway import (
     choose_platform_status,
     make_inbound_entrance,
@@ -73,7 +76,9 @@
 JOIN_MEMBERS: Final = 6
 # In force until the server tells its slots.
 FIRST_SLOTS: Final = 16
-QUEUE_TARGET_SECONDS: Final = 0.05
+# Servers may slow down when their last slots are taken.
+ROOM_SHARE: Final = 0.95
+QUEUE_TARGET_SECONDS: Final = 0.02
 QUEUE_WAIT_SECONDS: Final = 0.5
 SERVICE_SECONDS: Final = 0.05
 LINK_DEPTH_SECONDS: Final = 1.0
@@ -125,7 +130,11 @@
         options, clock = self.options, self.clock
         interface = PLATFORM_INTERFACE
         self.admission = Admission(
-            clock, FIRST_SLOTS, QUEUE_TARGET_SECONDS, QUEUE_WAIT_SECONDS
+            clock,
+            FIRST_SLOTS,
+            QUEUE_TARGET_SECONDS,
+            QUEUE_WAIT_SECONDS,
+            learns_room=False,
         )
         self.link = TokenBucket(clock, options.link_rate, options.link_rate)
         self.placement = Placement(
@@ -138,6 +147,8 @@
         )
         self.rotation = Rotation(self.chance)
         self.ratio = RetryRatio(clock)
+        self.learned = LearnedThresholds(clock)
+        self.contexts = Contexts(options.place.node)
         self.pool = Pool()
         to_server = ExchangeRules(
             make_belongs(interface), by_close=True, grace=SERVER_GRACE_SECONDS
@@ -149,7 +160,11 @@
                 make_admission(clock, self.admission, self._find_refusal),
             ],
             make_serving(
-                clock, self.server, interface, make_send(self.pool, clock, to_server)
+                clock,
+                self.server,
+                interface,
+                self.contexts,
+                make_send(self.pool, clock, to_server),
             ),
         )
         remote = make_remote(
@@ -171,6 +186,7 @@
                 ),
                 make_lookup(lambda: self.table, self.rotation),
                 make_deadline(clock),
+                make_shedding(self.learned),
             ],
             make_placing(clock, self.placement, self.ratio, forward),
         )
@@ -187,7 +203,7 @@
         self._outbound_server = HttpServer(
             options.outbound,
             make_outbound_entrance(
-                clock, interface, own, self._outbound, self._track
+                clock, interface, own, self._outbound, self.contexts, self._track
             ),
             speech=to_callers,
         )
@@ -353,7 +369,9 @@
         current = self.server.current
         if current is not None:
             self.admission.configure(
-                current.slots, QUEUE_TARGET_SECONDS, QUEUE_WAIT_SECONDS
+                max(1, int(current.slots * ROOM_SHARE)),
+                QUEUE_TARGET_SECONDS,
+                QUEUE_WAIT_SECONDS,
             )
 
     def _note_member(self, member: Member) -> None:
--- a/src/fuchsiaspool/standins/fleet.py
+++ b/src/fuchsiaspool/standins/fleet.py
@@ -13,8 +13,8 @@
 from ..controllers.settings import SettingsKeeper
 from ..ids import DataCentre, Incarnation, NodeId, Region, ServiceName
 from ..peers.bus import PeerBus
-from ..settings.tree import build_policy
 from ..peers.wiring import wire_members
+from ..settings.tree import build_policy
 
 FIRST_PORT = 1000
 LIFE = 1000
--- a/src/fuchsiaspool/standins/platform.py
+++ b/src/fuchsiaspool/standins/platform.py
@@ -267,9 +267,7 @@
             bottle.abort(413, "value too large")
         return msgspec.json.decode(body, type=NewObject)
 
-    def _write(
-        self, key: ObjectKey, apply: Callable[[], StoredObject | None]
-    ) -> bytes:
+    def _write(self, key: ObjectKey, apply: Callable[[], StoredObject | None]) -> bytes:
         self.meter.writes += 1
         self._suffer(self._writes)
         if self.faults.lose_writes:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -16,11 +16,11 @@
 from fuchsiaspool.peers.messages import SettingsTell
 from fuchsiaspool.settings.objects import Bundle
 from fuchsiaspool.settings.store import Proposal, apply_proposal
+from fuchsiaspool.settings.tree import build_policy
 from fuchsiaspool.standins.fleet import StandinNetwork
 from fuchsiaspool.watching import SettingsWatch
 
 from .fakes import FakePlatform, Fault
-from fuchsiaspool.settings.tree import build_policy
 from .support import TEXTS, make_member
 
 CRASH_OUT_SECONDS = 10
