Order waiting work by class and age, and let invited returns come first

The level keeps above the most important class that waits; nested calls go oldest deadline first; a due return goes to the front of its class.

--- a/src/fuchsiaspool/addresses.py
+++ b/src/fuchsiaspool/addresses.py
@@ -2,6 +2,11 @@
 
 import ipaddress
 from dataclasses import dataclass
+from functools import lru_cache
+from typing import Final
+
+# Members' addresses are read for each call that goes to them.
+PARSED_TEXTS: Final = 4096
 
 
 class AddressError(ValueError):
@@ -21,6 +26,7 @@
         return f"{self.host}:{self.port}"
 
 
+@lru_cache(maxsize=PARSED_TEXTS)
 def parse_address(text: str) -> Address:
     """Read `IP:port`; raise `AddressError`."""
     host, colon, port = text.strip().rpartition(":")
--- a/src/fuchsiaspool/controllers/admission.py
+++ b/src/fuchsiaspool/controllers/admission.py
@@ -14,11 +14,11 @@
 
 QUEUE_PER_SLOT: Final = 4
 QUEUE_LEAST: Final = 16
-# How far a nested call goes ahead of others of its class, in ranks.
-NESTED_AHEAD: Final = 1.0
 _ESTIMATE_GAIN: Final = 0.1
 
-_Order = tuple[int, float, float, int]
+# Class; nested calls first; the caller's share of critical ones; then what decides
+# among equals: the end of a nested call's time, a request's own fixed rank.
+_Order = tuple[int, bool, float, float, int]
 
 
 @dataclass(slots=True, eq=False)
@@ -71,12 +71,6 @@
         """Return how many calls wait."""
         return len(self._queue)
 
-    @property
-    def expected_wait(self) -> float:
-        """Return the seconds that one more call would wait for a slot."""
-        ahead = self.in_flight + len(self._queue) + 1 - self.limit.value
-        return max(0.0, ahead) * self._estimate / self.limit.value
-
     @property
     def service_seconds(self) -> float:
         """Return the mean time that a call spends at the server."""
@@ -96,12 +90,13 @@
 
     def enter(self, call: Call) -> NotRun | None:
         """Wait for a slot; return a refusal where there is none in time."""
-        if self._learns_room:
-            self.shedding.offer(call.rank)
+        if not self._learns_room:
+            # Order decides here; the level tells entrances what not to send.
+            self.level.observe(call.rank, self._expect_wait(call))
         else:
-            self.level.observe(call.rank, self.expected_wait)
-        if not call.critical and not call.nested and call.rank > self.threshold:
-            return self._refuse(NotRunReason.SHED)
+            self.shedding.offer(call.rank)
+            if not call.critical and call.rank > self.threshold:
+                return self._refuse(NotRunReason.SHED)
         if self.free:
             self.shedding.mark_drained()
             self._admit(call)
@@ -119,6 +114,13 @@
             self._estimate += (seconds - self._estimate) * _ESTIMATE_GAIN
         self._admit_waiting()
 
+    def _expect_wait(self, call: Call) -> float:
+        """Return the seconds until a slot, behind those that go first."""
+        goes_first = (int(call.rank), not call.nested, 0.0, call.deadline, 0)
+        behind = self._queue.bisect_key_left(goes_first)
+        ahead = self.in_flight + behind + 1 - self.limit.value
+        return float(max(0.0, ahead) * self._estimate / self.limit.value)
+
     def _wait(self, call: Call) -> NotRun | None:
         patience = call.deadline - self._clock.now() - self._estimate
         if patience <= 0:
@@ -146,11 +148,11 @@
     def _make_order(self, call: Call) -> _Order:
         self._sequence += 1
         priority = int(call.rank)
-        share = float(self._callers.get(call.caller, 0)) if call.critical else 0.0
         if call.nested:
-            # Half-done work goes before new work of the same class.
-            return (priority, share, call.rank - NESTED_AHEAD, self._sequence)
-        return (priority, share, call.rank, self._sequence)
+            # Half-done work goes before new work of its class, the oldest first.
+            return (priority, False, 0.0, call.deadline, self._sequence)
+        share = float(self._callers.get(call.caller, 0)) if call.critical else 0.0
+        return (priority, True, share, call.rank, self._sequence)
 
     def _make_room(self, entry: _Entry) -> bool:
         room = max(QUEUE_LEAST, int(self.limit.value) * QUEUE_PER_SLOT)
--- a/src/fuchsiaspool/controllers/level.py
+++ b/src/fuchsiaspool/controllers/level.py
@@ -22,13 +22,18 @@
 
 
 class AdmissionLevel:
-    """Follow the expected wait at one server and hold the level it calls for."""
+    """Follow the expected waits at one server and hold the level they call for.
+
+    The level never falls below the most important class that has to wait: where
+    only the least important waits, the others are not turned away for it.
+    """
 
     def __init__(self, clock: Clock, target: float) -> None:
         self.value = NO_THRESHOLD
         self._clock = clock
         self._target = target
         self._worst_wait = 0.0
+        self._floor = NO_THRESHOLD
         self._top = LEAST_LEVEL
         self._stepped = clock.now()
 
@@ -41,6 +46,8 @@
         # Turning away starts at the least important class that is there.
         self._top = max(self._top, float(int(rank) + 1))
         self._worst_wait = max(self._worst_wait, wait)
+        if wait > self._target:
+            self._floor = min(self._floor, float(int(rank)))
         now = self._clock.now()
         steps = int((now - self._stepped) / STEP_SECONDS)
         if steps < 1:
@@ -50,9 +57,11 @@
         if excess > 1.0:
             start = min(self.value, self._top)
             fall = min(LARGEST_FALL, FALL * excess)
-            self.value = max(LEAST_LEVEL, start - fall)
+            floor = max(LEAST_LEVEL, self._floor)
+            self.value = min(self.value, max(floor, start - fall))
         elif self.value < NO_THRESHOLD:
             self.value += RISE * steps
             if self.value >= self._top:
                 self.value = NO_THRESHOLD
         self._worst_wait = 0.0
+        self._floor = NO_THRESHOLD
--- a/src/fuchsiaspool/controllers/placement.py
+++ b/src/fuchsiaspool/controllers/placement.py
@@ -29,7 +29,7 @@
 FAR_SECONDS: Final = 0.06
 # What a crossing between regions costs besides its time: the link is narrow and
 # paid by volume. In seconds of waiting that it is worth.
-CROSSING_SECONDS: Final = 0.02
+CROSSING_SECONDS: Final = 0.04
 # The same for bytes between data centres of a region, which some sites pay dearly.
 CENTRE_SECONDS: Final = 0.008
 # Costs this close are taken for equal, in seconds and as a share of the least.
--- a/src/fuchsiaspool/filters/shedding.py
+++ b/src/fuchsiaspool/filters/shedding.py
@@ -2,7 +2,7 @@
 
 from ..calls import Call, Filter, Next
 from ..controllers.threshold import LearnedThresholds
-from ..outcomes import NotRun, NotRunReason, Outcome
+from ..outcomes import NO_THRESHOLD, Answered, NotRun, NotRunReason, Outcome
 
 
 def make_shedding(learned: LearnedThresholds) -> Filter:
@@ -15,7 +15,9 @@
             detail = "shed before sending"
             return NotRun(NotRunReason.SHED, detail, threshold=threshold)
         outcome = following(call)
-        learned.learn(call.service, call.operation, outcome.threshold)
+        # An outcome made on this side of the server tells nothing of its threshold.
+        if isinstance(outcome, Answered) or outcome.threshold < NO_THRESHOLD:
+            learned.learn(call.service, call.operation, outcome.threshold)
         return outcome
 
     return shed
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -27,6 +27,7 @@
 from .controllers.placement import Placement
 from .controllers.registry import RENEW_SECONDS, Registry
 from .controllers.retries import RetryRatio
+from .controllers.returns import Returns
 from .controllers.rotation import Rotation
 from .controllers.settings import SettingsKeeper
 from .controllers.threshold import LearnedThresholds
@@ -35,6 +36,7 @@
 from .filters.explaining import make_explaining
 from .filters.lookup import make_lookup
 from .filters.placing import make_placing
+from .filters.returning import make_returning
 from .filters.shedding import make_shedding
 from .gateway import (
     choose_platform_status,
@@ -186,6 +188,7 @@
                 ),
                 make_lookup(lambda: self.table, self.rotation),
                 make_deadline(clock),
+                make_returning(clock, Returns(clock, self.chance)),
                 make_shedding(self.learned),
             ],
             make_placing(clock, self.placement, self.ratio, forward),
