--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -88,6 +88,8 @@
 QUIET_SECONDS: Final = 0.02
 # Callers are sent elsewhere after two misses of a question a second.
 NOTICE_SECONDS: Final = 2.3
+# Requests sent later than this after the signal to stop need not be taken.
+CLOSING_SECONDS: Final = 2.8
 # What is left of the grace for closing connections and exiting.
 EXIT_SECONDS: Final = 0.4
 # A peer's answer is awaited this much longer than the deadline that it keeps.
@@ -315,9 +317,11 @@
         gevent.spawn(self.registry.withdraw)
         self._inbound_server.wind_down()
         self._outbound_server.wind_down()
-        # Callers still come until the platform has noticed.
+        # Callers still come until the platform has noticed, and what the own server
+        # is working on may still make calls; whoever comes later is turned away.
         gevent.sleep(min(NOTICE_SECONDS, self.options.grace / 2))
-        while self._active and self.clock.now() < last:
+        closing = started + min(CLOSING_SECONDS, self.options.grace / 2)
+        while self.admission.in_flight and self.clock.now() < closing:
             gevent.sleep(QUIET_SECONDS)
         self._inbound_server.stop_accepting()
         self._outbound_server.stop_accepting()
--- /dev/null
+++ b/tests/deep_chain.py
@@ -0,0 +1,246 @@
+"""A chain whose deepest service saturates, on the paused clock with the real parts."""
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+from fuchsiaspool.allowance import Allowance
+from fuchsiaspool.bodies import Body
+from fuchsiaspool.calls import Call, compose, compute_rank
+from fuchsiaspool.clock import PausedClock
+from fuchsiaspool.controllers.admission import Admission
+from fuchsiaspool.controllers.balancer import Place
+from fuchsiaspool.controllers.buckets import TokenBucket
+from fuchsiaspool.controllers.members import Member, MemberTable
+from fuchsiaspool.controllers.placement import Placement
+from fuchsiaspool.controllers.retries import RetryRatio
+from fuchsiaspool.controllers.returns import Returns
+from fuchsiaspool.controllers.threshold import LearnedThresholds
+from fuchsiaspool.filters.admission import make_admission
+from fuchsiaspool.filters.deadline import make_deadline
+from fuchsiaspool.filters.placing import make_placing
+from fuchsiaspool.filters.returning import make_returning
+from fuchsiaspool.filters.shedding import make_shedding
+from fuchsiaspool.ids import (
+    CallerId,
+    ClassName,
+    DataCentre,
+    Incarnation,
+    NodeId,
+    OperationName,
+    Region,
+    RequestId,
+    ServiceName,
+)
+from fuchsiaspool.nesting import inherit
+from fuchsiaspool.node_load import NodeLoad
+from fuchsiaspool.outcomes import Answered, NotRun, NotRunReason
+
+FRONT, DEEP = ServiceName("front"), ServiceName("deep")
+WAY_SECONDS = 0.0005
+DEADLINE_SECONDS = 5.0
+
+
+@dataclass(frozen=True)
+class Kind:
+    """Describe one kind of request: `work` in seconds, `calls` of the deep service."""
+
+    name: str
+    service: ServiceName
+    priority: int
+    share: float
+    work: float
+    calls: int
+    aim: float
+    timeout: float
+
+
+KINDS = (
+    Kind("certify", FRONT, 0, 0.21, 0.12, 4, 1.5, 1.0),
+    Kind("quota", DEEP, 1, 0.16, 0.036, 0, 0.25, 0.8),
+    Kind("permit", FRONT, 2, 0.63, 0.09, 4, 1.2, 0.8),
+)
+CALL_WORK = 0.022
+
+
+@dataclass
+class Tally:
+    """Count how requests of each kind ended."""
+
+    offered: Counter = field(default_factory=Counter)
+    in_aim: Counter = field(default_factory=Counter)
+    refused_again: Counter = field(default_factory=Counter)
+    failed: Counter = field(default_factory=Counter)
+
+    def share(self, name):
+        return self.in_aim[name] / max(1, self.offered[name])
+
+
+def _is_whole(outcome):
+    return isinstance(outcome, Answered) and outcome.status == 200
+
+
+class DeepChain:
+    """Run entrances, front servers and deep servers with unequal speeds."""
+
+    def __init__(self, seed=1, entrances=8, sheds=True):
+        self.clock = PausedClock()
+        self.chance = random.Random(seed)
+        self.tally = Tally()
+        self._sheds = sheds
+        self._number = 0
+        self._admissions = {}
+        self._speeds = {}
+        self.members = MemberTable()
+        for index, speed in enumerate((1.0, 1.0, 1.0, 1.0)):
+            self._add_server(f"front-{index}", FRONT, 180, speed)
+        for index, speed in enumerate((0.5, 1.0, 1.0, 1.5)):
+            self._add_server(f"deep-{index}", DEEP, 23, speed)
+        self._inbound = {node: self._make_inbound(node) for node in self._admissions}
+        self._outbound = {}
+        for node in (*self._admissions, *(f"edge-{n}" for n in range(entrances))):
+            self._outbound[node] = self._make_outbound(node)
+        self._entrances = [n for n in self._outbound if not n.startswith("front")]
+
+    def _add_server(self, node, service, slots, speed):
+        self._admissions[node] = Admission(
+            self.clock, slots, 0.02, 0.5, learns_room=False
+        )
+        self._speeds[node] = speed
+        self.members.merge(
+            Member(
+                NodeId(node),
+                service,
+                DataCentre("north-1"),
+                Region("north"),
+                "127.0.0.1:1",
+                "127.0.0.1:2",
+                Incarnation(1),
+            )
+        )
+
+    def _find_load(self, node):
+        found = self._admissions[node]
+        busy = float(found.in_flight + found.queued)
+        return NodeLoad(busy, found.limit.value, found.service_seconds or 0.05)
+
+    def _make_inbound(self, node):
+        def serve(call):
+            kind = next((k for k in KINDS if k.name == call.operation), None)
+            work = CALL_WORK if kind is None else kind.work
+            spent = self.chance.gammavariate(4, work / 4) / self._speeds[node]
+            self.clock.sleep(spent)
+            threshold = 8.0
+            for _ in range(kind.calls if kind else 0):
+                outcome = self._call_deep(node, call)
+                threshold = min(threshold, outcome.threshold)
+                if not isinstance(outcome, Answered) or outcome.status != 200:
+                    return Answered(500, [], Body(), threshold=threshold)
+            late = self.clock.now() > call.deadline
+            return Answered(504 if late else 200, [], Body(), threshold=threshold)
+
+        admit = make_admission(self.clock, self._admissions[node], lambda: None)
+        return compose([make_deadline(self.clock), admit], serve)
+
+    def _call_deep(self, node, parent):
+        call = self._make_call(DEEP, f"{parent.request}.x", 0.7)
+        call.nested = True
+        inherit(call, parent)
+        call.operation = OperationName("feed")
+        call.idempotent = True
+        return self._outbound[node](call)
+
+    def _make_outbound(self, node):
+        placement = Placement(
+            self.clock,
+            Place(NodeId(node), ServiceName(""), DataCentre("north-1"), Region("north")),
+            self.members.list_service,
+            TokenBucket(self.clock, 1e9, 1e9),
+            lambda: NodeLoad(0.0, 1.0, 0.05),
+            self.chance,
+        )
+
+        def forward(member, call):
+            started = self.clock.now()
+            self.clock.sleep(WAY_SECONDS)
+            outcome = self._inbound[member.node](call)
+            self.clock.sleep(WAY_SECONDS)
+            elapsed = self.clock.now() - started
+            placement.learn(member, self._find_load(member.node), elapsed - elapsed)
+            return outcome
+
+        place = make_placing(
+            self.clock, placement, RetryRatio(self.clock), forward
+        )
+        if not self._sheds:
+            return place
+        return compose(
+            [
+                make_returning(self.clock, Returns(self.clock, self.chance)),
+                make_shedding(LearnedThresholds(self.clock)),
+            ],
+            place,
+        )
+
+    def _make_call(self, service, request, seconds):
+        now = self.clock.now()
+        return Call(
+            RequestId(request),
+            CallerId("caller"),
+            service,
+            "GET",
+            f"/{request}",
+            [],
+            Body(),
+            now,
+            now + seconds,
+            Allowance(0),
+        )
+
+    def _request(self, kind):
+        self.tally.offered[kind.name] += 1
+        node = self.chance.choice(self._entrances)
+        began = self.clock.now()
+        self._number += 1
+        name = f"r{self._number}"
+        outcome = self._send(node, kind, name, began)
+        if isinstance(outcome, NotRun):
+            pause = outcome.retry_after
+            self.clock.sleep(0.3 if pause is None else pause)
+            outcome = self._send(node, kind, name, began)
+            if isinstance(outcome, NotRun):
+                self.tally.refused_again[kind.name] += 1
+        elif kind.priority and not _is_whole(outcome):
+            # What may be repeated is repeated at once after a failure.
+            self.tally.failed[kind.name] += 1
+            outcome = self._send(node, kind, name, began)
+        if not _is_whole(outcome):
+            return
+        if self.clock.now() - began <= kind.aim:
+            self.tally.in_aim[kind.name] += 1
+
+    def _send(self, node, kind, name, began):
+        call = self._make_call(kind.service, name, kind.timeout)
+        self._number += 1
+        call.request = RequestId(f"{name}-{self._number}")
+        call.operation = OperationName(kind.name)
+        call.call_class = ClassName(kind.name)
+        call.rank = compute_rank(kind.priority, call.request)
+        call.critical = kind.priority == 0
+        call.classified = True
+        call.idempotent = kind.priority != 0
+        call.attempts = 2
+        call.aim = began + kind.aim
+        outcome = self._outbound[node](call)
+        if self.clock.now() > call.deadline and isinstance(outcome, Answered):
+            outcome.status = 504
+        return outcome
+
+    def offer(self, per_second, seconds):
+        """Offer requests at a rate for a time, then let all of them end."""
+        end = self.clock.now() + seconds
+        weights = [kind.share for kind in KINDS]
+        while self.clock.now() < end:
+            self.clock.advance(self.chance.expovariate(per_second))
+            self.clock.spawn(self._request, self.chance.choices(KINDS, weights)[0])
+        self.clock.advance(5.0)
