--- a/src/fuchsiaspool/controllers/admission.py
+++ b/src/fuchsiaspool/controllers/admission.py
@@ -110,6 +110,8 @@
         if self._learns_room:
             self.shedding.complete()
             self.limit.observe(refused, self.in_flight + 1)
+        else:
+            self.level.observe_end(refused)
         if ran:
             self._estimate += (seconds - self._estimate) * _ESTIMATE_GAIN
         self._admit_waiting()
--- a/src/fuchsiaspool/controllers/level.py
+++ b/src/fuchsiaspool/controllers/level.py
@@ -14,9 +14,13 @@
 # One step of control, in seconds; a chain of calls answers within a few of them.
 STEP_SECONDS: Final = 0.05
 # Falls a step by this, times the wait over the target, at most the largest fall.
-FALL: Final = 0.04
-LARGEST_FALL: Final = 0.15
+FALL: Final = 0.01
+LARGEST_FALL: Final = 0.05
 RISE: Final = 0.015
+# Share of calls that a server with room refuses from which chains through it are
+# more likely to fail than to end well: four calls in a row do at less than half.
+REFUSED_SHARE: Final = 0.2
+REFUSED_GAIN: Final = 0.05
 # Ranks below this are critical and never turned away by the level.
 LEAST_LEVEL: Final = 1.0
 
@@ -35,12 +39,17 @@
         self._worst_wait = 0.0
         self._floor = NO_THRESHOLD
         self._top = LEAST_LEVEL
+        self._refused = 0.0
         self._stepped = clock.now()
 
     def set_target(self, target: float) -> None:
         """Take another wait, in seconds, for the longest that is well."""
         self._target = target
 
+    def observe_end(self, refused: bool) -> None:
+        """Note if the server refused a call although it had room."""
+        self._refused += (float(refused) - self._refused) * REFUSED_GAIN
+
     def observe(self, rank: float, wait: float) -> None:
         """Note an arriving call of a rank, and the wait that it meets in seconds."""
         # Turning away starts at the least important class that is there.
@@ -54,6 +63,10 @@
             return
         self._stepped = now
         excess = self._worst_wait / self._target
+        if excess <= 1.0 and self._refused > REFUSED_SHARE:
+            # Fewer chains leave each a larger part of the repeats that are allowed.
+            excess = self._refused / REFUSED_SHARE
+            self._floor = self._top - 1.0
         if excess > 1.0:
             start = min(self.value, self._top)
             fall = min(LARGEST_FALL, FALL * excess)
--- a/src/fuchsiaspool/controllers/retries.py
+++ b/src/fuchsiaspool/controllers/retries.py
@@ -17,22 +17,30 @@
 class RetryRatio:
     """Pay for retries out of what first attempts of the same service put in."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        depth: float = RATIO_DEPTH,
+        trickle: float = TRICKLE_PER_SECOND,
+    ) -> None:
         self._clock = clock
+        self._depth = depth
+        self._trickle = trickle
         self._buckets: dict[ServiceName, TokenBucket] = {}
 
     def count_first(self, service: ServiceName, ratio: float) -> None:
         """Put in the share of one first attempt."""
         self._find(service).put(ratio)
 
-    def take(self, service: ServiceName) -> bool:
-        """Pay for one retry; tell if there was enough."""
-        return self._find(service).take(1.0)
+    def take(self, service: ServiceName, reserve: float = 0.0) -> bool:
+        """Pay for one retry, leaving a reserve; tell if there was enough."""
+        bucket = self._find(service)
+        return bucket.tokens >= 1.0 + reserve and bucket.take(1.0)
 
     def _find(self, service: ServiceName) -> TokenBucket:
         bucket = self._buckets.get(service)
         if bucket is None:
-            bucket = TokenBucket(self._clock, TRICKLE_PER_SECOND, RATIO_DEPTH)
+            bucket = TokenBucket(self._clock, self._trickle, self._depth)
             self._buckets[service] = bucket
         return bucket
 
--- a/src/fuchsiaspool/filters/explaining.py
+++ b/src/fuchsiaspool/filters/explaining.py
@@ -17,7 +17,7 @@
 SERVER_ERROR: Final = 500
 # Lines a second for calls that went well, and for those that did not.
 WELL_PER_SECOND: Final = 5.0
-ILL_PER_SECOND: Final = 100.0
+ILL_PER_SECOND: Final = 30.0
 _MILLI: Final = 1000.0
 
 
--- a/src/fuchsiaspool/filters/placing.py
+++ b/src/fuchsiaspool/filters/placing.py
@@ -17,7 +17,9 @@
 NODES_ASKED: Final = 4
 # Share of first attempts that a service's repeats may reach from one node: below
 # the platform's ratio of 0.2, since a repeat repeats the calls beneath it too.
-REPEAT_RATIO: Final = 0.08
+REPEAT_RATIO: Final = 0.12
+# Repeats that are kept for critical calls.
+CRITICAL_RESERVE: Final = 1.0
 _BY_NODE: Final = frozenset(
     (
         NotRunReason.CONNECT_FAILED,
@@ -45,7 +47,8 @@
             chosen = placement.choose(call, tried)
             if isinstance(chosen, NotRunReason):
                 return doubt or outcome or NotRun(chosen)
-            if _reached_server(outcome) and not ratio.take(call.service):
+            reserve = 0.0 if call.critical else CRITICAL_RESERVE
+            if _reached_server(outcome) and not ratio.take(call.service, reserve):
                 call.trail.append("no repeat left")
                 return doubt or outcome or NotRun(NotRunReason.NO_SERVER)
             outcome = _attempt(clock, placement, forward, chosen, call)
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -83,7 +83,10 @@
 QUEUE_TARGET_SECONDS: Final = 0.02
 QUEUE_WAIT_SECONDS: Final = 0.5
 SERVICE_SECONDS: Final = 0.05
-LINK_DEPTH_SECONDS: Final = 1.0
+# Repeats that a node may make at once for a service, and the nodes among which the
+# platform's slack is shared out.
+REPEATS_AT_ONCE: Final = 3.0
+REPEATING_NODES: Final = 100
 FLUSH_SECONDS: Final = 0.5
 QUIET_SECONDS: Final = 0.02
 # Callers are sent elsewhere after two misses of a question a second.
@@ -150,7 +153,12 @@
             self.chance,
         )
         self.rotation = Rotation(self.chance)
-        self.ratio = RetryRatio(clock)
+        self.ratio = RetryRatio(
+            clock,
+            REPEATS_AT_ONCE,
+            # Every node may add its part: half the slack, shared by a large fleet.
+            options.retry_slack / options.retry_window / 2 / REPEATING_NODES,
+        )
         self.learned = LearnedThresholds(clock)
         self.contexts = Contexts(options.place.node)
         self.pool = Pool()
--- a/tests/deep_chain.py
+++ b/tests/deep_chain.py
@@ -34,7 +34,7 @@
 )
 from fuchsiaspool.nesting import inherit
 from fuchsiaspool.node_load import NodeLoad
-from fuchsiaspool.outcomes import Answered, NotRun, NotRunReason
+from fuchsiaspool.outcomes import Answered, NotRun
 
 FRONT, DEEP = ServiceName("front"), ServiceName("deep")
 WAY_SECONDS = 0.0005
@@ -153,7 +153,9 @@
     def _make_outbound(self, node):
         placement = Placement(
             self.clock,
-            Place(NodeId(node), ServiceName(""), DataCentre("north-1"), Region("north")),
+            Place(
+                NodeId(node), ServiceName(""), DataCentre("north-1"), Region("north")
+            ),
             self.members.list_service,
             TokenBucket(self.clock, 1e9, 1e9),
             lambda: NodeLoad(0.0, 1.0, 0.05),
@@ -169,9 +171,7 @@
             placement.learn(member, self._find_load(member.node), elapsed - elapsed)
             return outcome
 
-        place = make_placing(
-            self.clock, placement, RetryRatio(self.clock), forward
-        )
+        place = make_placing(self.clock, placement, RetryRatio(self.clock), forward)
         if not self._sheds:
             return place
         return compose(
