--- a/src/fuchsiaspool/http/messages.py
+++ b/src/fuchsiaspool/http/messages.py
@@ -44,11 +44,12 @@
 
 
 class _Message:
-    __slots__ = ("head", "headers", "target", "parts", "complete")
+    __slots__ = ("head", "headers", "header_bytes", "target", "parts", "complete")
 
     def __init__(self) -> None:
         self.head: Head | None = None
         self.headers: Headers = []
+        self.header_bytes = 0
         self.target = b""
         self.parts: list[bytes] = []
         self.complete = False
@@ -163,15 +164,17 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect one header."""
-        headers = self._messages[-1].headers
+        message = self._messages[-1]
+        headers = message.headers
         headers.append((name.lower(), value))
+        message.header_bytes += len(name) + len(value)
         if len(headers) > HEADER_COUNT:
             raise HeaderTooLargeError(f"over {HEADER_COUNT} headers")
 
     def on_headers_complete(self) -> None:
         """Build the head."""
         message = self._messages[-1]
-        if sum(len(n) + len(v) for n, v in message.headers) > HEADER_BYTES:
+        if message.header_bytes > HEADER_BYTES:
             raise HeaderTooLargeError(f"header over {HEADER_BYTES} bytes")
         head = Head(message.headers, message.target)
         head.keep_alive = self._parser.should_keep_alive()
--- a/src/fuchsiaspool/platform/wire.py
+++ b/src/fuchsiaspool/platform/wire.py
@@ -201,9 +201,20 @@
 
 def write_value(value: bytes) -> msgspec.Raw:
     """Return a value as a specification: JSON as it is, text quoted, bytes coded."""
-    if value[:1] in (b"{", b"["):
+    if _is_json(value):
         return msgspec.Raw(value)
     try:
         return msgspec.Raw(encode(value.decode()))
     except UnicodeDecodeError:
         return msgspec.Raw(encode(BinaryValue(value)))
+
+
+def _is_json(value: bytes) -> bool:
+    if value[:1] not in (b"{", b"["):
+        return False
+    try:
+        msgspec.json.decode(value)
+    except msgspec.DecodeError:
+        # A text that only begins like it, such as an INI section.
+        return False
+    return True
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -342,6 +342,18 @@
         _LOG.info("stopped", extra={"seconds": self.clock.now() - started})
         self.stopped.set()
 
+    def cut(self) -> None:
+        """Stop at once, whatever is in flight."""
+        self.state = NodeState.STOPPED
+        gevent.killall(self._tasks, block=False)
+        for server in (self._outbound_server, self._inbound_server):
+            server.kill()
+        for page in self._pages:
+            page.stop(timeout=0)
+        self.transport.stop()
+        self.pool.close()
+        self.stopped.set()
+
     def reload(self, options: PlatformOptions) -> None:
         """Take changed settings; what places the node holds until its next start."""
         changed = options != self.options
--- /dev/null
+++ b/tests/test_load_decisions.py
@@ -0,0 +1,207 @@
+"""Each decision under load, by a replay of the pattern that it answers."""
+
+import random
+import unittest
+
+from hypothesis import given, strategies as st
+
+from fuchsiaspool.bodies import Body
+from fuchsiaspool.clock import PausedClock
+from fuchsiaspool.controllers.buckets import TokenBucket
+from fuchsiaspool.controllers.level import AdmissionLevel
+from fuchsiaspool.controllers.members import MemberTable
+from fuchsiaspool.controllers.placement import Placement, estimate_delay
+from fuchsiaspool.controllers.returns import Returns
+from fuchsiaspool.controllers.rotation import Rotation
+from fuchsiaspool.ids import NodeId, RouteName, ServiceName
+from fuchsiaspool.node_load import NodeLoad
+from fuchsiaspool.outcomes import NO_THRESHOLD, Answered, NotRun, NotRunReason
+from fuchsiaspool.routes import Route, RouteKind, WeightedService
+
+from .deep_chain import DeepChain
+from .support import make_call, make_member, make_place
+
+KEY = ("GET", "host", "/x")
+IDLE = NodeLoad(0.0, 10.0, 0.02)
+FULL = NodeLoad(150.0, 10.0, 0.02)
+
+
+class DeepSaturationTests(unittest.TestCase):
+    """A deep service saturates while callers repeat what failed."""
+
+    def test_what_matters_is_served_and_little_work_is_wasted(self):
+        chain = DeepChain()
+        chain.offer(2200, 4.0)
+        tally = chain.tally
+        self.assertGreaterEqual(tally.share("certify"), 0.99)
+        self.assertGreaterEqual(tally.share("quota"), 0.9)
+        wasted = tally.failed["permit"] / tally.offered["permit"]
+        plain = DeepChain(sheds=False)
+        plain.offer(2200, 4.0)
+        before = plain.tally.failed["permit"] / plain.tally.offered["permit"]
+        self.assertLess(wasted, before / 2)
+
+    def test_nothing_is_turned_away_where_there_is_room(self):
+        chain = DeepChain()
+        chain.offer(600, 3.0)
+        for name in ("certify", "quota", "permit"):
+            self.assertGreaterEqual(chain.tally.share(name), 0.99, name)
+
+
+class AdmissionLevelTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = PausedClock()
+        self.level = AdmissionLevel(self.clock, 0.02)
+
+    def feed(self, steps, *arrivals):
+        for _ in range(steps):
+            for rank, wait in arrivals:
+                self.level.observe(rank, wait)
+            self.clock.advance(0.051)
+
+    def test_it_falls_while_calls_wait_and_returns_when_none_does(self):
+        self.feed(40, (2.5, 0.5))
+        self.assertEqual(self.level.value, 2.0)
+        self.feed(200, (2.5, 0.0))
+        self.assertEqual(self.level.value, NO_THRESHOLD)
+
+    def test_the_waits_of_the_least_important_turn_away_nobody_else(self):
+        self.feed(200, (1.5, 0.0), (2.5, 0.5))
+        self.assertEqual(self.level.value, 2.0)
+
+    def test_critical_calls_are_never_turned_away(self):
+        self.feed(200, (0.5, 1.0), (2.5, 1.0))
+        self.assertGreaterEqual(self.level.value, 1.0)
+
+    def test_refusals_of_a_server_with_room_keep_chains_from_beginning(self):
+        for _ in range(100):
+            self.level.observe_end(refused=True)
+        self.feed(100, (1.5, 0.0), (2.5, 0.0))
+        self.assertEqual(self.level.value, 2.0)
+
+
+class ReturnsTests(unittest.TestCase):
+    """Some callers repeat at once and often, others wait as they are told."""
+
+    def setUp(self):
+        self.clock = PausedClock()
+        self.returns = Returns(self.clock, random.Random(1))
+
+    def test_only_a_due_return_goes_ahead(self):
+        seconds = self.returns.invite(KEY, 1.0)
+        self.assertFalse(self.returns.welcome(KEY))
+        self.clock.advance(seconds)
+        self.assertTrue(self.returns.welcome(KEY))
+        self.assertFalse(self.returns.welcome(KEY))
+
+    def test_those_turned_away_together_come_back_apart(self):
+        moments = {
+            round(self.returns.invite(("GET", "host", str(n)), 1.0), 2)
+            for n in range(100)
+        }
+        self.assertGreater(len(moments), 20)
+
+    def test_an_old_invitation_is_worth_nothing(self):
+        self.returns.invite(KEY, 1.0)
+        self.clock.advance(10.0)
+        self.assertFalse(self.returns.welcome(KEY))
+
+
+class PlacementTests(unittest.TestCase):
+    """A burst fills the near servers while distant ones have room."""
+
+    def setUp(self):
+        self.clock = PausedClock()
+        self.members = MemberTable()
+        self.near = make_member("near")
+        self.far = make_member("far", centre="south-1", region="south")
+        for member in (self.near, self.far):
+            self.members.merge(member)
+        self.link = TokenBucket(self.clock, 1000.0, 1000.0)
+        self.placement = Placement(
+            self.clock,
+            make_place("edge"),
+            self.members.list_service,
+            self.link,
+            lambda: IDLE,
+            random.Random(1),
+        )
+        self.call = make_call(self.clock)
+
+    def choose(self, *excluded):
+        return self.placement.choose(self.call, {NodeId(n) for n in excluded})
+
+    def test_near_first_while_it_has_room(self):
+        self.assertEqual(self.choose(), self.near)
+
+    def test_a_long_near_queue_is_passed_over_until_it_is_gone(self):
+        self.placement.learn(self.near, FULL, 0.001)
+        self.placement.learn(self.far, IDLE, 0.06)
+        self.assertEqual(self.choose(), self.far)
+        self.clock.advance(3.0)
+        self.assertEqual(self.choose(), self.near)
+
+    def test_a_short_near_queue_is_shorter_than_the_way(self):
+        self.placement.learn(self.near, NodeLoad(12.0, 10.0, 0.02), 0.001)
+        self.assertEqual(self.choose(), self.near)
+
+    def test_the_link_between_regions_is_not_overdrawn(self):
+        self.placement.learn(self.near, FULL, 0.001)
+        self.link.charge(2000.0)
+        self.assertEqual(self.choose(), self.near)
+        self.assertEqual(self.choose("near"), NotRunReason.LINK_BUDGET)
+
+    def test_a_server_that_fails_part_of_its_calls_is_avoided(self):
+        for status in (500, 200) * 20:
+            self.placement.begin(self.near)
+            self.placement.end(self.near, Answered(status, [], Body()), 0.01)
+        self.assertEqual(self.choose(), self.far)
+
+    def test_a_node_without_server_rests_and_is_welcomed_back(self):
+        self.placement.begin(self.near)
+        self.placement.end(self.near, NotRun(NotRunReason.NOT_READY), 0.001)
+        self.assertEqual(self.choose(), self.far)
+        self.placement.welcome(self.near.node)
+        self.assertEqual(self.choose(), self.near)
+
+    def test_where_all_rest_one_is_still_asked(self):
+        for member in (self.near, self.far):
+            self.placement.begin(member)
+            self.placement.end(member, NotRun(NotRunReason.NOT_READY), 0.001)
+        self.assertIn(self.choose(), (self.near, self.far))
+
+    @given(st.floats(0, 500), st.floats(0, 500))
+    def test_a_fuller_server_never_looks_faster(self, left, right):
+        less, more = sorted((left, right))
+        self.assertLessEqual(
+            estimate_delay(IDLE, less), estimate_delay(IDLE, more) + 1e-9
+        )
+
+
+class RotationTests(unittest.TestCase):
+    """Weighted services get their share exactly, in a short span too."""
+
+    @given(st.lists(st.integers(1, 100), min_size=2, max_size=4), st.integers(0, 99))
+    def test_no_part_strays_by_more_than_one_round(self, weights, seed):
+        parts = tuple(
+            WeightedService(ServiceName(f"s{n}"), float(w))
+            for n, w in enumerate(weights)
+        )
+        route = Route(RouteName("r"), "/", RouteKind.IDEMPOTENT, 1.0, 1.0, 0, 1, parts)
+        rotation = Rotation(random.Random(seed))
+        chosen = [rotation.choose(route) for _ in range(300)]
+        for part in parts:
+            expected = 300 * part.weight / sum(weights)
+            self.assertAlmostEqual(
+                chosen.count(part.service), expected, delta=len(parts)
+            )
+
+    def test_a_changed_set_of_services_starts_anew(self):
+        rotation = Rotation(random.Random(1))
+        for names in (("a", "b"), ("a", "c")):
+            parts = tuple(WeightedService(ServiceName(n), 1.0) for n in names)
+            route = Route(
+                RouteName("r"), "/", RouteKind.IDEMPOTENT, 1.0, 1.0, 0, 1, parts
+            )
+            found = {rotation.choose(route) for _ in range(10)}
+            self.assertEqual(found, set(names))
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,150 @@
+import json
+import re
+import tomllib
+import unittest
+from pathlib import Path
+
+from hypothesis import given, strategies as st
+
+from fuchsiaspool.addresses import Address
+from fuchsiaspool.controllers.backend import ServerState
+from fuchsiaspool.ids import Revision
+from fuchsiaspool.options import read_platform_options
+from fuchsiaspool.platform.configuration import CONFIGURATION_PATH, build_routes
+from fuchsiaspool.platform.heartbeats import read_beat, read_departure
+from fuchsiaspool.results import Err, Ok
+from fuchsiaspool.routes import RouteKind
+
+ROOT = Path(__file__).parents[1]
+BEAT = {
+    "address": "10.128.0.9:8080",
+    "born": 1700000000000,
+    "nodeInfo": {"service": "a", "version": "v1", "zone": "z", "slots": 75},
+    "status": {"state": "ready", "seq": 4, "coldRemainingS": 0.5},
+}
+CONFIGURATION = {
+    "version": "0000000c",
+    "services": [{"name": "a", "healthPath": "/health", "connectionLimit": 9}],
+    "limits": {"idleTimeoutS": 15},
+    "virtualHosts": [
+        {
+            "host": "H.example",
+            "paths": [
+                {
+                    "name": "short",
+                    "pathPrefix": "/p/",
+                    "kind": "idempotent",
+                    "timeoutS": 0.8,
+                    "targetLatencyS": 0.5,
+                    "priority": 2,
+                    "service": "a",
+                    "maxAttempts": 2,
+                },
+                {
+                    "name": "long",
+                    "pathPrefix": "/p/q/",
+                    "kind": "of-tomorrow",
+                    "timeoutS": 1,
+                    "weightedServices": [
+                        {"service": "a", "weight": 90},
+                        {"service": "b", "weight": 10},
+                    ],
+                },
+            ],
+        }
+    ],
+}
+
+
+def build(found):
+    return build_routes(Revision(3), {CONFIGURATION_PATH: json.dumps(found)})
+
+
+class HeartbeatTests(unittest.TestCase):
+    def test_a_heartbeat_is_read(self):
+        report = read_beat("i-1", json.dumps(BEAT).encode()).value
+        self.assertEqual(report.address, Address("10.128.0.9", 8080))
+        self.assertEqual(report.state, ServerState.READY)
+        self.assertEqual((report.slots, report.sequence), (75, 4))
+        self.assertEqual(report.born, 1700000000000)
+
+    def test_what_another_writer_sent_is_told_and_names_no_server(self):
+        for path, value in (
+            (("status", "state"), "sleeping"),
+            (("status", "seq"), "four"),
+            (("nodeInfo", "slots"), None),
+            (("address",), "host:80"),
+            (("born",), "yesterday"),
+        ):
+            beat = json.loads(json.dumps(BEAT))
+            place = beat
+            for name in path[:-1]:
+                place = place[name]
+            place[path[-1]] = value
+            found = read_beat("i-1", json.dumps(beat).encode())
+            self.assertIsInstance(found, Err, path)
+
+    @given(st.binary(max_size=200))
+    def test_no_bytes_are_more_than_unreadable(self, body):
+        self.assertIsInstance(read_beat("i-1", body), (Ok, Err))
+        self.assertIsInstance(read_departure(body), int)
+
+
+class ConfigurationTests(unittest.TestCase):
+    def test_the_longest_prefix_wins(self):
+        table = build(CONFIGURATION).value
+        self.assertEqual(table.find("h.example", "/p/x?y=/p/q/").name, "short")
+        self.assertEqual(table.find("h.example", "/p/q/x").name, "long")
+        self.assertIsNone(table.find("h.example", "/p"))
+        self.assertIsNone(table.find("other.example", "/p/x"))
+
+    def test_an_unknown_kind_is_never_repeated(self):
+        route = build(CONFIGURATION).value.find("h.example", "/p/q/x")
+        self.assertEqual(route.kind, RouteKind.NON_IDEMPOTENT)
+        self.assertFalse(route.idempotent)
+        self.assertEqual(route.attempts, 1)
+
+    def test_what_cannot_be_read_is_an_error(self):
+        for text in ("", "{}", '{"version": 1}', '{"version":"1","virtualHosts":7}'):
+            found = build_routes(Revision(1), {CONFIGURATION_PATH: text})
+            self.assertIsInstance(found, Err, text)
+        self.assertIsInstance(build_routes(Revision(1), {}), Err)
+
+
+class DeployTests(unittest.TestCase):
+    def test_the_template_fills_in_to_valid_settings(self):
+        text = (ROOT / "deploy/node.ini").read_text()
+        fields = {
+            "nodeName": "n-1",
+            "ip": "10.1.0.8",
+            "internalPortRange.0": "7620",
+            "internalPortRange.1": "7621",
+            "zone": "z",
+            "region": "r",
+            "service": "a",
+            "heartbeatIntervalS": "1.5",
+            "bounds.gracePeriodS": "6",
+            "bounds.retryWindowS": "10",
+            "bounds.retryBudgetSlack": "48",
+        }
+
+        def fill(match):
+            return fields.get(match[1], "10.1.0.8:8300")
+
+        filled = re.sub(r"\{\{([^}]+)\}\}", fill, text)
+        options = read_platform_options("node.ini", filled).value
+        self.assertEqual(options.place.node, "n-1")
+        self.assertEqual(options.grace, 6.0)
+        self.assertEqual(options.retry_slack, 48.0)
+
+    def test_the_build_installs_what_the_project_declares(self):
+        with (ROOT / "pyproject.toml").open("rb") as file:
+            declared = tomllib.load(file)["project"]["dependencies"]
+        listed = (ROOT / "deploy/requirements.txt").read_text().split()
+        self.assertEqual(sorted(declared), sorted(listed))
+
+    def test_only_the_platform_folder_spells_its_names(self):
+        names = re.compile(r"virtualHosts|targetLatency|coldRemaining|Not-Executed")
+        for path in (ROOT / "src/fuchsiaspool").rglob("*.py"):
+            if "platform" not in path.parts:
+                self.assertIsNone(names.search(path.read_text()), path)
--- /dev/null
+++ b/tests/test_sidecar.py
@@ -0,0 +1,375 @@
+"""Nodes on the platform, over real sockets, against the stand-ins."""
+
+import json
+import struct
+import unittest
+from socket import SO_LINGER, SOL_SOCKET
+
+import gevent
+import gevent.socket
+import urllib3
+from gevent.server import StreamServer
+
+from fuchsiaspool.addresses import Address
+from fuchsiaspool.options import PlatformOptions
+from fuchsiaspool.platform.client import make_platform
+from fuchsiaspool.platform.configuration import CONFIGURATION_KEY
+from fuchsiaspool.sidecar import NodeState, Sidecar
+from fuchsiaspool.standins.platform import PlatformStandin
+
+from .support import make_place, take_address
+
+SIGNED = b"Fuchsiaspool-Server-Signature: s\r\n"
+READY_SECONDS = 5.0
+
+
+def make_path(name, **fields):
+    path = {
+        "name": name,
+        "pathPrefix": f"/{name}/",
+        "kind": "idempotent",
+        "timeoutS": 1.0,
+        "targetLatencyS": 0.5,
+        "priority": 1,
+        "service": "quota",
+        "maxAttempts": 2,
+    }
+    return path | fields
+
+
+CONFIGURATION = {
+    "version": "0000000c",
+    "virtualHosts": [
+        {
+            "host": "h.example",
+            "paths": [
+                make_path("read"),
+                make_path("certify", kind="non_idempotent"),
+                make_path("quick", timeoutS=0.2),
+                make_path("front", service="registry"),
+            ],
+        }
+    ],
+}
+
+
+class Request:
+    """Hold one request as a stand-in server read it."""
+
+    def __init__(self, head, body):
+        lines = head.decode().split("\r\n")
+        self.line = lines[0]
+        self.headers = {}
+        for line in lines[1:]:
+            name, _, value = line.partition(": ")
+            self.headers[name.lower()] = value
+        self.body = body
+
+    def answer(self, status=200, body=b"fine", extra=SIGNED, length=True):
+        attempt = self.headers.get("fuchsiaspool-attempt-id", "")
+        head = f"HTTP/1.1 {status} X\r\nFuchsiaspool-Attempt-Id: {attempt}\r\n"
+        data = head.encode() + extra
+        if length:
+            data += b"Content-Length: %d\r\n" % len(body)
+        return data + b"\r\n" + body
+
+
+class StubServer:
+    """Answer each request with what a function returns; `None` never answers."""
+
+    def __init__(self, script=Request.answer):
+        self.script = script
+        self.requests = []
+        self.closed = gevent.event.Event()
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+        self.address = Address(*self._server.address)
+
+    def _serve(self, socket, peer):
+        data = b""
+        while True:
+            while b"\r\n\r\n" not in data:
+                piece = socket.recv(65536)
+                if not piece:
+                    self.closed.set()
+                    return
+                data += piece
+            head, _, data = data.partition(b"\r\n\r\n")
+            request = Request(head, b"")
+            length = int(request.headers.get("content-length", 0))
+            while len(data) < length:
+                data += socket.recv(65536)
+            request.body, data = data[:length], data[length:]
+            self.requests.append(request)
+            answer = self.script(request)
+            if answer is None:
+                continue
+            if answer is RESET:
+                socket.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
+                socket.close()
+                return
+            socket.sendall(answer)
+            if b"Content-Length" not in answer:
+                socket.close()
+                return
+
+    def stop(self):
+        self._server.stop(timeout=0)
+
+
+RESET = object()
+
+
+class SidecarTests(unittest.TestCase):
+    def setUp(self):
+        self.platform = PlatformStandin(Address("127.0.0.1", 0))
+        self.platform.start()
+        self.addCleanup(self.platform.stop)
+        self.nodes = []
+        self.http = urllib3.PoolManager(retries=False)
+
+    def start_node(self, name, service, server):
+        options = PlatformOptions(
+            make_place(name, service),
+            server.address,
+            outbound=take_address(),
+            inbound=take_address(),
+            readiness=take_address(),
+            reports=take_address(),
+            peers=take_address(),
+            metrics=take_address(),
+            platform=self.platform.address,
+            contacts=(),
+            grace=2.0,
+            heartbeat=1.5,
+            retry_window=10.0,
+            retry_slack=1000.0,
+            link_rate=1e6,
+        )
+        node = Sidecar(options)
+        node.start()
+        self.nodes.append(node)
+        self.addCleanup(node.cut)
+        return node
+
+    def accept(self, configuration=CONFIGURATION):
+        client = make_platform(self.platform.address, self.nodes[0].clock, None)
+        client.put(CONFIGURATION_KEY, json.dumps(configuration).encode(), None)
+
+    def beat(self, node, state="ready", sequence=1, instance="i-1"):
+        options = node.options
+        body = {
+            "address": str(options.server),
+            "born": 100,
+            "nodeInfo": {"service": options.place.service, "slots": 10},
+            "status": {"state": state, "seq": sequence, "coldRemainingS": 0},
+        }
+        url = f"http://{options.reports}/-/instances/{instance}"
+        return self.http.request("PUT", url, body=json.dumps(body)).status
+
+    def await_that(self, condition):
+        with gevent.Timeout(READY_SECONDS, AssertionError("not in time")):
+            while not condition():
+                gevent.sleep(0.02)
+
+    def start_pair(self, script=Request.answer):
+        """Start a node for callers, and one beside a server that runs the script."""
+        self.server = StubServer(script)
+        self.addCleanup(self.server.stop)
+        self.other = StubServer()
+        self.addCleanup(self.other.stop)
+        self.edge = self.start_node("edge", "registry", self.other)
+        self.deep = self.start_node("deep", "quota", self.server)
+        self.accept()
+        self.assertEqual(self.beat(self.deep), 200)
+        self.await_that(lambda: self.edge.members.list_service("quota"))
+        self.await_that(lambda: self.edge.state is NodeState.READY)
+
+    def ask(self, path="/read/x", method="GET", node=None, **headers):
+        fields = {"Host": "h.example", "Fuchsiaspool-Attempt-Id": "a1"}
+        fields["Fuchsiaspool-Deadline-Ms"] = "900"
+        fields |= {name.replace("_", "-"): value for name, value in headers.items()}
+        body = fields.pop("body", None)
+        url = f"http://{(node or self.edge).options.outbound}{path}"
+        return self.http.request(method, url, headers=fields, body=body)
+
+    def test_a_request_reaches_the_server_as_it_was_sent(self):
+        self.start_pair()
+        answer = self.ask(
+            "/certify/a%20b?c=d&e",
+            "POST",
+            body=b"lot 7",
+            Fuchsiaspool_Calling_Service="forged",
+            Fuchsiaspool_Expected_Instance="forged",
+            X_Own="kept",
+        )
+        self.assertEqual((answer.status, answer.data), (200, b"fine"))
+        self.assertEqual(answer.headers["Fuchsiaspool-Server-Signature"], "s")
+        self.assertNotIn("fuchsiaspool-outcome", answer.headers)
+        seen = self.server.requests[0]
+        self.assertEqual(seen.line, "POST /certify/a%20b?c=d&e HTTP/1.1")
+        self.assertEqual(seen.body, b"lot 7")
+        self.assertEqual(seen.headers["fuchsiaspool-attempt-id"], "a1")
+        self.assertEqual(seen.headers["fuchsiaspool-calling-service"], "registry")
+        self.assertEqual(seen.headers["fuchsiaspool-expected-instance"], "i-1")
+        self.assertEqual(seen.headers["x-own"], "kept")
+        left = int(seen.headers["fuchsiaspool-deadline-ms"])
+        self.assertTrue(0 < left <= 900, left)
+        self.assertNotIn("fuchsiaspool-mesh", seen.headers)
+
+    def test_without_a_configuration_no_route_is_said_to_be_missing(
+        self,
+    ):
+        server = StubServer()
+        self.addCleanup(server.stop)
+        node = self.edge = self.start_node("edge", "registry", server)
+        gevent.sleep(0.1)
+        answer = self.ask()
+        self.assertEqual(answer.status, 503)
+        self.assertIn("Retry-After", answer.headers)
+        url = f"http://{node.options.readiness}/-/readiness"
+        self.assertEqual(self.http.request("GET", url).status, 503)
+        self.accept()
+        self.await_that(lambda: self.http.request("GET", url).status == 200)
+        self.assertEqual(self.ask("/nowhere/").status, 404)
+        self.assertEqual(self.ask(Host="other.example").status, 404)
+
+    def test_a_leaving_server_gets_nothing_more_once_that_was_acknowledged(self):
+        self.start_pair()
+        self.assertEqual(self.ask().status, 200)
+        self.assertEqual(self.beat(self.deep, "draining", 2), 200)
+        answer = self.ask()
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(len(self.server.requests), 1)
+        self.assertEqual(self.beat(self.deep, "ready", 1), 200)
+        self.assertEqual(self.ask().status, 503)
+
+    def test_a_heartbeat_that_cannot_be_read_is_refused(self):
+        self.start_pair()
+        url = f"http://{self.deep.options.reports}/-/instances/i-9"
+        self.assertEqual(self.http.request("PUT", url, body=b"\xff").status, 400)
+        self.assertEqual(self.ask().status, 200)
+
+    def test_an_answer_to_another_request_reaches_nobody(self):
+        def script(request):
+            late = request.answer(body=b"foreign").replace(b"a1", b"a0")
+            return late + request.answer(body=b"own")
+
+        self.start_pair(script)
+        self.assertEqual(self.ask().data, b"own")
+
+    def test_bytes_after_an_answer_belong_to_nobody(self):
+        self.start_pair(lambda request: request.answer() + request.answer(body=b"more"))
+        for number in range(3):
+            self.assertEqual(self.ask().data, b"fine", number)
+
+    def test_an_answer_may_end_with_its_connection(self):
+        self.start_pair(lambda request: request.answer(length=False))
+        self.assertEqual((self.ask().status, self.ask().data), (200, b"fine"))
+
+    def test_a_truncated_answer_never_looks_whole(self):
+        self.start_pair(
+            lambda request: request.answer(length=False).replace(
+                b"\r\n\r\n", b"\r\nX-Length: 1\r\nContent-length: 99\r\n\r\n"
+            )
+        )
+        self.assertEqual(self.ask().status, 502)
+
+    def test_a_success_without_signature_is_no_success(self):
+        self.start_pair(lambda request: request.answer(extra=b""))
+        self.assertEqual(self.ask().status, 502)
+
+    def test_what_may_not_be_repeated_is_sent_once(self):
+        self.start_pair(lambda request: RESET)
+        self.assertEqual(self.ask("/certify/1", "POST").status, 502)
+        self.assertEqual(len(self.server.requests), 1)
+
+    def test_a_refusal_of_the_server_is_told_as_not_run(self):
+        refusal = b"Fuchsiaspool-Not-Executed: 1\r\n"
+        self.start_pair(lambda request: request.answer(503, extra=refusal))
+        answer = self.ask("/certify/1", "POST")
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers["Retry-After"]), 0.0)
+
+    def test_another_server_at_the_address_is_not_taken_for_ours(self):
+        self.start_pair(lambda request: request.answer(421))
+        self.assertEqual(self.ask().status, 503)
+
+    def test_a_route_ends_at_its_time(self):
+        self.start_pair(lambda request: None)
+        started = self.edge.clock.now()
+        self.assertEqual(self.ask("/quick/1").status, 504)
+        self.assertLess(self.edge.clock.now() - started, 0.6)
+
+    def test_a_caller_that_leaves_frees_the_server(self):
+        self.start_pair(lambda request: None)
+        address = self.edge.options.outbound
+        socket = gevent.socket.create_connection((address.host, address.port))
+        socket.sendall(
+            b"GET /read/1 HTTP/1.1\r\nHost: h.example\r\n"
+            b"Fuchsiaspool-Attempt-Id: a1\r\nFuchsiaspool-Deadline-Ms: 900\r\n\r\n"
+        )
+        self.await_that(lambda: self.server.requests)
+        socket.close()
+        self.assertTrue(self.server.closed.wait(0.5))
+
+    def test_calls_of_a_server_are_part_of_the_request_it_serves(self):
+        def script(request):
+            self.ask(
+                "/read/1",
+                node=self.edge,
+                Fuchsiaspool_Attempt_Id=request.headers["fuchsiaspool-attempt-id"]
+                + ".c1",
+                Fuchsiaspool_Deadline_Ms="60000",
+            )
+            return request.answer()
+
+        self.start_pair()
+        self.other.script = script
+        self.assertEqual(self.beat(self.edge), 200)
+        self.await_that(lambda: self.deep.members.list_service("registry"))
+        answer = self.ask("/front/1", node=self.deep, Fuchsiaspool_Deadline_Ms="500")
+        self.assertEqual(answer.status, 200)
+        nested = self.server.requests[-1]
+        self.assertEqual(nested.headers["fuchsiaspool-attempt-id"], "a1.c1")
+        self.assertEqual(nested.headers["fuchsiaspool-calling-service"], "registry")
+        self.assertLessEqual(int(nested.headers["fuchsiaspool-deadline-ms"]), 500)
+
+    def test_a_stop_answers_what_was_taken_and_takes_nothing_late(self):
+        def script(request):
+            gevent.sleep(0.3)
+            return request.answer()
+
+        self.start_pair(script)
+        asked = gevent.spawn(self.ask)
+        self.await_that(lambda: self.server.requests)
+        stopping = gevent.spawn(self.edge.stop)
+        self.assertEqual(asked.get().status, 200)
+        self.assertEqual(asked.get().headers["Connection"], "close")
+        url = f"http://{self.edge.options.readiness}/-/readiness"
+        self.assertEqual(self.http.request("GET", url).status, 503)
+        stopping.get(timeout=3)
+        self.assertTrue(self.edge.stopped.is_set())
+
+    def test_an_outage_of_the_store_stops_nothing_that_runs(self):
+        self.start_pair()
+        self.platform.faults.down = True
+        self.assertEqual(self.ask().status, 200)
+        self.assertEqual(self.beat(self.deep, sequence=2), 200)
+
+    def test_a_node_without_store_learns_from_its_peers(self):
+        self.start_pair()
+        server = StubServer()
+        self.addCleanup(server.stop)
+        late = self.start_node("late", "registry", server)
+        self.platform.faults.down = True
+        late.membership.join((self.edge.options.peers,))
+        self.await_that(lambda: late.state is NodeState.READY)
+        self.assertEqual(late.table.version, "0000000c")
+
+    def test_metrics_tell_how_calls_ended(self):
+        self.start_pair()
+        self.ask()
+        url = f"http://{self.edge.options.metrics}/metrics"
+        text = self.http.request("GET", url).data.decode()
+        self.assertIn('answered{class="read"} 1', text)
