Put the types that rooms share on the ground floor

Cause: peers/messages took its types from controllers and operations, which import it themselves, and filters/recording took its line from replay.

--- a/src/fuchsiaspool/benchmarks/capacity.py
+++ b/src/fuchsiaspool/benchmarks/capacity.py
@@ -16,9 +16,9 @@
 
 from ..addresses import Address
 from ..clock import PausedClock, SystemClock
-from ..controllers.members import MemberState
 from ..ids import NodeId, Nonce, Revision, SubtreePath
-from ..operations.changes import Claim, Remember, RememberedAnswer
+from ..member_records import MemberState
+from ..operation_records import Claim, Remember, RememberedAnswer
 from ..operations.commits import GroupCommitter, make_nonce
 from ..operations.keys import make_key, place_key
 from ..peers.transport import PeerTransport
--- a/src/fuchsiaspool/benchmarks/memory.py
+++ b/src/fuchsiaspool/benchmarks/memory.py
@@ -9,8 +9,8 @@
 import gevent
 
 from ..addresses import Address
-from ..controllers.members import Member
 from ..ids import DataCentre, Incarnation, NodeId, Region, Revision, ServiceName
+from ..member_records import Member
 from ..peers.messages import Envelope, Sync, encode_envelope
 from ..peers.transport import PeerTransport
 
--- a/src/fuchsiaspool/benchmarks/rungs.py
+++ b/src/fuchsiaspool/benchmarks/rungs.py
@@ -17,12 +17,12 @@
 from ..allowance import Allowance
 from ..calls import Call
 from ..clock import SystemClock
-from ..controllers.balancer import Place
 from ..http.client import Pool, make_send
 from ..http.listeners import listen
 from ..http.messages import keep_end_to_end
 from ..http.server import HttpServer, Reply, Request
 from ..ids import CallerId, DataCentre, NodeId, Region, RequestId, ServiceName
+from ..member_records import Place
 from ..node import Node
 from ..options import NodeOptions
 from ..runtime import tune_collector
--- a/src/fuchsiaspool/chains.py
+++ b/src/fuchsiaspool/chains.py
@@ -8,11 +8,11 @@
 from .calls import Call, Filter, Next, compose
 from .clock import Clock
 from .controllers.admission import Admission
-from .controllers.balancer import Balancer, Place
+from .controllers.balancer import Balancer
 from .controllers.buckets import TokenBucket
 from .controllers.counters import Counters
 from .controllers.histograms import Histograms, Measure
-from .controllers.members import Member, MemberTable
+from .controllers.members import MemberTable
 from .controllers.retries import Grants, RetryRatio
 from .controllers.threshold import LearnedThresholds
 from .filters.admission import make_admission
@@ -23,6 +23,7 @@
 from .filters.routing import make_routing
 from .filters.shedding import make_shedding
 from .ids import Revision
+from .member_records import Member, Place
 from .outcomes import NotRunReason, Outcome
 from .settings.policy import Limits, Policy
 
--- a/src/fuchsiaspool/commands/operations.py
+++ b/src/fuchsiaspool/commands/operations.py
@@ -9,7 +9,7 @@
 
 from ..clock import SystemClock
 from ..ids import NodeId, OperationKey
-from ..operations.changes import Done, Held, OperationRecord, Resolve
+from ..operation_records import Done, Held, OperationRecord, Resolve
 from ..operations.commits import GroupCommitter, decode_shard
 from ..operations.keys import place_key
 from ..platform.client import make_platform
--- a/src/fuchsiaspool/control.py
+++ b/src/fuchsiaspool/control.py
@@ -8,9 +8,9 @@
 from gevent.pywsgi import WSGIServer
 
 from .addresses import Address
-from .controllers.members import Member
 from .http.listeners import listen
 from .ids import Revision, SubtreePath
+from .member_records import Member
 
 
 class ClassStatus(msgspec.Struct):
--- a/src/fuchsiaspool/controllers/balancer.py
+++ b/src/fuchsiaspool/controllers/balancer.py
@@ -9,7 +9,8 @@
 
 from ..calls import Call
 from ..clock import Clock
-from ..ids import DataCentre, NodeId, Region, ServiceName
+from ..ids import NodeId, ServiceName
+from ..member_records import Member, Place
 from ..outcomes import (
     NO_THRESHOLD,
     Answered,
@@ -20,7 +21,6 @@
     UnknownReason,
 )
 from .buckets import TokenBucket
-from .members import Member
 
 SUBSET_SIZE: Final = 12
 LATENCY_GAIN: Final = 0.2
@@ -39,16 +39,6 @@
 _NOBODY: Final[set[NodeId]] = set()
 
 
-@dataclass(frozen=True, slots=True)
-class Place:
-    """Say where this node stands."""
-
-    node: NodeId
-    service: ServiceName
-    data_centre: DataCentre
-    region: Region
-
-
 @dataclass(slots=True)
 class _Track:
     in_flight: int = 0
--- a/src/fuchsiaspool/controllers/bridging.py
+++ b/src/fuchsiaspool/controllers/bridging.py
@@ -7,9 +7,10 @@
 
 from ..addresses import Address, parse_address
 from ..ids import DataCentre, NodeId
+from ..member_records import Member, MemberState
 from ..peers.messages import Body, Digest, Envelope, Sync
 from .balancer import hash_pair
-from .members import Member, MemberState, MemberTable
+from .members import MemberTable
 
 BRIDGES: Final = 2
 PERIOD_SECONDS: Final = 2.0
--- a/src/fuchsiaspool/controllers/membership.py
+++ b/src/fuchsiaspool/controllers/membership.py
@@ -9,8 +9,9 @@
 from ..addresses import Address, parse_address
 from ..clock import Clock, Timer
 from ..ids import Incarnation, NodeId
+from ..member_records import Member, MemberState
 from ..peers.messages import Ack, Body, Envelope, Ping, PingRequest, Sync
-from .members import Member, MemberState, MemberTable
+from .members import MemberTable
 from .news import News
 
 PERIOD_SECONDS: Final = 1.0
--- a/src/fuchsiaspool/controllers/news.py
+++ b/src/fuchsiaspool/controllers/news.py
@@ -4,7 +4,8 @@
 from typing import Final
 
 from ..ids import NodeId
-from .members import Member, MemberTable
+from ..member_records import Member
+from .members import MemberTable
 
 UPDATES_PER_MESSAGE: Final = 8
 SPREAD_FACTOR: Final = 3
--- a/src/fuchsiaspool/controllers/placement.py
+++ b/src/fuchsiaspool/controllers/placement.py
@@ -14,11 +14,11 @@
 from ..calls import Call
 from ..clock import Clock
 from ..ids import NodeId, ServiceName
+from ..member_records import Member, Place
 from ..node_load import NodeLoad
 from ..outcomes import Answered, NotRun, NotRunReason, Outcome, Unknown, UnknownReason
-from .balancer import SERVER_ERROR, Place, choose_subset
+from .balancer import SERVER_ERROR, choose_subset
 from .buckets import TokenBucket
-from .members import Member
 
 # Members of one service that a node chooses among, per distance; bounds the
 # connections of a large fleet.
--- a/src/fuchsiaspool/controllers/registry.py
+++ b/src/fuchsiaspool/controllers/registry.py
@@ -7,9 +7,10 @@
 
 from ..clock import Clock
 from ..ids import NodeId, Version
+from ..member_records import Member, MemberState
 from ..platform.objects import Applied, Conflict, Listing, ObjectKey, Platform
 from ..results import Err, Ok
-from .members import Member, MemberState, MemberTable
+from .members import MemberTable
 
 PREFIX: Final = "members/"
 RENEW_SECONDS: Final = 60.0
--- a/src/fuchsiaspool/filters/claim.py
+++ b/src/fuchsiaspool/filters/claim.py
@@ -5,7 +5,7 @@
 from ..bodies import Body, BodyError
 from ..calls import Call, Filter, Next
 from ..clock import Clock
-from ..operations.changes import RememberedAnswer
+from ..operation_records import RememberedAnswer
 from ..operations.claims import Claimed, Claims, Duplicate, InDoubt, Refused
 from ..outcomes import (
     Answered,
--- a/src/fuchsiaspool/filters/placing.py
+++ b/src/fuchsiaspool/filters/placing.py
@@ -5,10 +5,10 @@
 
 from ..calls import Call, Next
 from ..clock import Clock
-from ..controllers.members import Member
 from ..controllers.placement import Placement
 from ..controllers.retries import RetryRatio
 from ..ids import NodeId
+from ..member_records import Member
 from ..outcomes import Answered, NotRun, NotRunReason, Outcome, Unknown, UnknownReason
 
 Forward = Callable[[Member, Call], Outcome]
--- a/src/fuchsiaspool/filters/recording.py
+++ b/src/fuchsiaspool/filters/recording.py
@@ -4,9 +4,9 @@
 
 from ..calls import Call, Filter, Next
 from ..clock import Clock
-from ..controllers.balancer import Place
+from ..member_records import Place
 from ..outcomes import Answered, NotRun, Outcome
-from ..replay.lines import RequestLine
+from ..trace_lines import RequestLine
 
 MILLI = 1000.0
 DIGITS = 3
--- a/src/fuchsiaspool/filters/routing.py
+++ b/src/fuchsiaspool/filters/routing.py
@@ -6,9 +6,9 @@
 from ..calls import Call, Next
 from ..clock import Clock
 from ..controllers.balancer import Balancer
-from ..controllers.members import Member
 from ..controllers.retries import RetryRatio
 from ..ids import NodeId
+from ..member_records import Member
 from ..outcomes import Answered, NotRun, NotRunReason, Outcome, Unknown, UnknownReason
 from ..settings.policy import Policy
 
--- a/src/fuchsiaspool/mesh.py
+++ b/src/fuchsiaspool/mesh.py
@@ -9,10 +9,10 @@
 from .bodies import Headers
 from .calls import Call
 from .clock import Clock
-from .controllers.members import Member
 from .http.client import Send
 from .http.messages import find_header, keep_end_to_end
 from .ids import CallerId, OperationKey, RequestId, ServiceName
+from .member_records import Member
 from .node_load import NodeLoad
 from .outcomes import (
     NO_THRESHOLD,
--- a/src/fuchsiaspool/node.py
+++ b/src/fuchsiaspool/node.py
@@ -25,8 +25,8 @@
 from .outcomes import NotRunReason
 from .parts import NodeParts
 from .peers.messages import SettingsAsk
-from .replay.lines import RequestLine
 from .reports import count_classes, count_members, export_histograms
+from .trace_lines import RequestLine
 
 _LOG = logging.getLogger(__name__)
 JOIN_SECONDS: Final = 1.0
--- a/src/fuchsiaspool/operations/changes.py
+++ b/src/fuchsiaspool/operation_records.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..ids import NodeId, Nonce, OperationKey
+from .ids import NodeId, Nonce, OperationKey
 
 
 class OperationState(Enum):
--- a/src/fuchsiaspool/operations/claims.py
+++ b/src/fuchsiaspool/operations/claims.py
@@ -7,11 +7,7 @@
 
 from ..clock import Clock
 from ..ids import NodeId, Nonce, OperationKey
-from ..outcomes import NotRunReason, UnknownReason
-from ..platform.objects import ObjectKey
-from ..results import Err, Ok
-from .answers import INLINE_BYTES, LARGEST_BYTES, AnswerStore
-from .changes import (
+from ..operation_records import (
     Change,
     Claim,
     Done,
@@ -25,6 +21,10 @@
     RememberedAnswer,
     Verdict,
 )
+from ..outcomes import NotRunReason, UnknownReason
+from ..platform.objects import ObjectKey
+from ..results import Err, Ok
+from .answers import INLINE_BYTES, LARGEST_BYTES, AnswerStore
 from .keys import KeyFault, place_key
 
 _LOG = logging.getLogger(__name__)
--- a/src/fuchsiaspool/operations/commits.py
+++ b/src/fuchsiaspool/operations/commits.py
@@ -10,6 +10,14 @@
 from ..clock import Clock, Waiter
 from ..controllers.buckets import TokenBucket
 from ..ids import NodeId, Nonce, Version
+from ..operation_records import (
+    Change,
+    Claim,
+    NotCommitted,
+    Shard,
+    Verdict,
+    apply_change,
+)
 from ..platform.objects import (
     Ambiguous,
     Applied,
@@ -21,7 +29,6 @@
 )
 from ..platform.writes import Change as Write, write_settled
 from ..results import Err, Ok
-from .changes import Change, Claim, NotCommitted, Shard, Verdict, apply_change
 
 GROUP_SECONDS: Final = 0.02
 # What one owner may write a second: all owners together stay within the
--- a/src/fuchsiaspool/operations/ownership.py
+++ b/src/fuchsiaspool/operations/ownership.py
@@ -6,11 +6,11 @@
 from ..addresses import Address, parse_address
 from ..clock import Clock, Waiter
 from ..controllers.balancer import hash_pair
-from ..controllers.members import Member, MemberState
 from ..ids import NodeId, Region
+from ..member_records import Member, MemberState
+from ..operation_records import Change, Verdict
 from ..peers.messages import CommitAsk, CommitTell, Envelope
 from ..platform.objects import ObjectKey
-from .changes import Change, Verdict
 from .commits import GroupCommitter
 from .keys import find_number
 
--- a/src/fuchsiaspool/options.py
+++ b/src/fuchsiaspool/options.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from .addresses import Address, AddressError, parse_address
-from .controllers.balancer import Place
 from .ids import DataCentre, NodeId, Region, ServiceName
+from .member_records import Place
 from .results import Err, Ok, Result
 from .settings.sections import NodeSection, PlatformNodeSection
 from .settings.tree import SettingsFault, convert_section, read_ini
--- a/src/fuchsiaspool/parts.py
+++ b/src/fuchsiaspool/parts.py
@@ -9,7 +9,6 @@
 from .clock import SystemClock
 from .controllers.bridging import Bridging, is_chosen
 from .controllers.contexts import Contexts
-from .controllers.members import Member, MemberState
 from .controllers.membership import Membership
 from .controllers.registry import Registry
 from .controllers.settings import SettingsKeeper
@@ -18,6 +17,7 @@
 from .filters.recording import make_recording
 from .http.client import Pool, make_send
 from .ids import Incarnation
+from .member_records import Member, MemberState
 from .mesh import make_remote
 from .operations.answers import make_answer_store
 from .operations.claims import Claims
@@ -30,8 +30,8 @@
 from .peers.transport import PeerTransport
 from .peers.wiring import wire_members, wire_operations
 from .platform.client import make_no_platform, make_platform
-from .replay.lines import RequestLine
 from .settings.tree import build_policy
+from .trace_lines import RequestLine
 from .watching import SettingsWatch
 
 # How many nodes of a data centre hold a watch, and how many bridge to others.
--- a/src/fuchsiaspool/peers/bus.py
+++ b/src/fuchsiaspool/peers/bus.py
@@ -6,9 +6,8 @@
 from typing import Any
 
 from ..addresses import Address, AddressError, parse_address
-from ..controllers.balancer import Place
-from ..controllers.members import Member
 from ..ids import Revision
+from ..member_records import Member, Place
 from .messages import (
     Body,
     Envelope,
--- a/src/fuchsiaspool/peers/messages.py
+++ b/src/fuchsiaspool/peers/messages.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from ..controllers.members import Member
 from ..ids import DataCentre, NodeId, Revision, SubtreePath
-from ..operations.changes import Change, Verdict
+from ..member_records import Member
+from ..operation_records import Change, Verdict
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag="ping"):
--- a/src/fuchsiaspool/replay/arrivals.py
+++ b/src/fuchsiaspool/replay/arrivals.py
@@ -7,7 +7,7 @@
 
 from ..ids import CallerId, DataCentre, OperationKey, RequestId
 from ..operations.keys import make_key
-from .lines import EventKind, EventLine, LoadLine, OperationLine, RequestLine
+from ..trace_lines import EventKind, EventLine, LoadLine, OperationLine, RequestLine
 from .trace import Trace
 
 
--- a/src/fuchsiaspool/replay/backends.py
+++ b/src/fuchsiaspool/replay/backends.py
@@ -15,7 +15,7 @@
     Unknown,
     UnknownReason,
 )
-from .lines import CallTree
+from ..trace_lines import CallTree
 from .tally import Tally
 from .world import Server, World
 
--- a/src/fuchsiaspool/replay/baselines.py
+++ b/src/fuchsiaspool/replay/baselines.py
@@ -6,7 +6,7 @@
 
 from ..clock import Waiter
 from ..ids import DataCentre, RequestId
-from .lines import CallTree, EventKind, EventLine
+from ..trace_lines import CallTree, EventKind, EventLine
 from .system import Submission
 from .tally import Ending, Tally
 from .world import MILLI, Server, World
--- a/src/fuchsiaspool/replay/ideal.py
+++ b/src/fuchsiaspool/replay/ideal.py
@@ -4,8 +4,8 @@
 
 from ..ids import OperationName, ServiceName
 from ..settings.policy import Policy
+from ..trace_lines import CallTree
 from .arrivals import list_arrivals
-from .lines import CallTree
 from .trace import Trace
 from .world import MILLI
 
--- a/src/fuchsiaspool/replay/system.py
+++ b/src/fuchsiaspool/replay/system.py
@@ -5,8 +5,8 @@
 from typing import Protocol
 
 from ..ids import RequestId
+from ..trace_lines import EventKind, EventLine
 from .arrivals import Arrival, list_arrivals
-from .lines import EventKind, EventLine
 from .tally import Ending, Tally
 from .world import Server, World
 
--- a/src/fuchsiaspool/replay/trace.py
+++ b/src/fuchsiaspool/replay/trace.py
@@ -9,7 +9,7 @@
 
 from ..ids import DataCentre, OperationName, Region, ServiceName
 from ..results import Err, Ok, Result
-from .lines import (
+from ..trace_lines import (
     RECORDED_SECONDS,
     VERSION,
     CallTree,
--- a/src/fuchsiaspool/replay/treatment.py
+++ b/src/fuchsiaspool/replay/treatment.py
@@ -6,12 +6,11 @@
 from ..calls import Call
 from ..chains import Core, CoreParts, build_core
 from ..clock import Waiter
-from ..controllers.balancer import Place
-from ..controllers.members import Member, MemberState
 from ..filters.claim import make_claim
 from ..ids import Incarnation, NodeId, Nonce
+from ..member_records import Member, MemberState, Place
+from ..operation_records import Change, Verdict
 from ..operations.answers import make_answer_store
-from ..operations.changes import Change, Verdict
 from ..operations.claims import Claims
 from ..operations.commits import GroupCommitter
 from ..outcomes import (
@@ -26,8 +25,8 @@
 from ..settings.policy import Policy
 from ..standins.memory import make_memory_platform
 from ..standins.platform import ObjectStore
+from ..trace_lines import EventKind, EventLine
 from .backends import HTTP_OK, Backend, make_call
-from .lines import EventKind, EventLine
 from .system import Submission
 from .tally import Ending, Tally
 from .world import MILLI, Server, World
--- a/src/fuchsiaspool/replay/verdicts.py
+++ b/src/fuchsiaspool/replay/verdicts.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 
 from ..settings.policy import Policy
+from ..trace_lines import EventLine, ExpectLine
 from .ideal import compute_ideal
-from .lines import EventLine, ExpectLine
 from .tally import Tally
 from .trace import Trace
 
--- a/src/fuchsiaspool/replay/world.py
+++ b/src/fuchsiaspool/replay/world.py
@@ -7,7 +7,7 @@
 from ..calls import Call
 from ..clock import PausedClock
 from ..ids import DataCentre, NodeId, RequestId, ServiceName
-from .lines import CallTree, EventKind, EventLine, ServiceLine
+from ..trace_lines import CallTree, EventKind, EventLine, ServiceLine
 from .trace import Trace
 
 BITS_PER_BYTE = 8
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -22,7 +22,7 @@
 from .controllers.contexts import Contexts
 from .controllers.counters import Counters
 from .controllers.histograms import Histograms
-from .controllers.members import Member, MemberState, MemberTable
+from .controllers.members import MemberTable
 from .controllers.membership import PERIOD_SECONDS, Membership
 from .controllers.placement import Placement
 from .controllers.registry import RENEW_SECONDS, Registry
@@ -47,6 +47,7 @@
 from .http.server import HttpServer
 from .http.speech import Speech
 from .ids import Incarnation, RouteName
+from .member_records import Member, MemberState
 from .mesh import make_remote
 from .node_load import NodeLoad
 from .options import PlatformOptions
--- a/src/fuchsiaspool/sites.py
+++ b/src/fuchsiaspool/sites.py
@@ -8,9 +8,9 @@
 
 from .addresses import Address
 from .clock import SystemClock
-from .controllers.balancer import Place
 from .ids import DataCentre, NodeId, Region, ServiceName, SubtreePath, TeamName
 from .loads import Shape
+from .member_records import Place
 from .node import Node, NodeState
 from .operations.commits import make_nonce
 from .options import NodeOptions
--- a/src/fuchsiaspool/standins/fleet.py
+++ b/src/fuchsiaspool/standins/fleet.py
@@ -6,12 +6,12 @@
 from ..addresses import Address
 from ..chains import PolicyHolder
 from ..clock import PausedClock
-from ..controllers.balancer import Place
 from ..controllers.bridging import Bridging
-from ..controllers.members import Member, MemberState, MemberTable
+from ..controllers.members import MemberTable
 from ..controllers.membership import Membership
 from ..controllers.settings import SettingsKeeper
 from ..ids import DataCentre, Incarnation, NodeId, Region, ServiceName
+from ..member_records import Member, MemberState, Place
 from ..peers.bus import PeerBus
 from ..peers.wiring import wire_members
 from ..settings.tree import build_policy
--- a/src/fuchsiaspool/replay/lines.py
+++ b/src/fuchsiaspool/trace_lines.py
@@ -5,7 +5,7 @@
 
 from msgspec import Meta, Struct
 
-from ..ids import CallerId, ClassName, DataCentre, OperationName, Region, ServiceName
+from .ids import CallerId, ClassName, DataCentre, OperationName, Region, ServiceName
 
 VERSION: Final = 1
 RECORDED_SECONDS: Final = 86_400.0
--- a/tests/deep_chain.py
+++ b/tests/deep_chain.py
@@ -9,9 +9,8 @@
 from fuchsiaspool.calls import Call, compose, compute_rank
 from fuchsiaspool.clock import PausedClock
 from fuchsiaspool.controllers.admission import Admission
-from fuchsiaspool.controllers.balancer import Place
 from fuchsiaspool.controllers.buckets import TokenBucket
-from fuchsiaspool.controllers.members import Member, MemberTable
+from fuchsiaspool.controllers.members import MemberTable
 from fuchsiaspool.controllers.placement import Placement
 from fuchsiaspool.controllers.retries import RetryRatio
 from fuchsiaspool.controllers.returns import Returns
@@ -32,6 +31,7 @@
     RequestId,
     ServiceName,
 )
+from fuchsiaspool.member_records import Member, Place
 from fuchsiaspool.nesting import inherit
 from fuchsiaspool.node_load import NodeLoad
 from fuchsiaspool.outcomes import Answered, NotRun
--- a/tests/support.py
+++ b/tests/support.py
@@ -11,8 +11,6 @@
 from fuchsiaspool.allowance import Allowance
 from fuchsiaspool.bodies import Body
 from fuchsiaspool.calls import Call
-from fuchsiaspool.controllers.balancer import Place
-from fuchsiaspool.controllers.members import Member, MemberState
 from fuchsiaspool.ids import (
     CallerId,
     DataCentre,
@@ -24,6 +22,7 @@
     ServiceName,
     SubtreePath,
 )
+from fuchsiaspool.member_records import Member, MemberState, Place
 from fuchsiaspool.node import Node, NodeState
 from fuchsiaspool.options import NodeOptions
 from fuchsiaspool.settings.objects import Bundle
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -17,7 +17,7 @@
 from fuchsiaspool.ids import NodeId, SubtreePath
 from fuchsiaspool.logs import JsonFormatter
 from fuchsiaspool.node import Node, NodeState
-from fuchsiaspool.operations.changes import Claim
+from fuchsiaspool.operation_records import Claim
 from fuchsiaspool.operations.commits import GroupCommitter
 from fuchsiaspool.operations.keys import make_key, place_key
 from fuchsiaspool.platform.client import make_platform
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,7 +3,7 @@
 
 from fuchsiaspool.benchmarks.capacity import make_tree
 from fuchsiaspool.clock import PausedClock
-from fuchsiaspool.controllers.members import MemberState, MemberTable
+from fuchsiaspool.controllers.members import MemberTable
 from fuchsiaspool.controllers.registry import (
     LEASE_SECONDS,
     PREFIX,
@@ -12,6 +12,7 @@
 )
 from fuchsiaspool.controllers.settings import SettingsKeeper
 from fuchsiaspool.ids import Incarnation, Nonce, Revision, TeamName
+from fuchsiaspool.member_records import MemberState
 from fuchsiaspool.node import START_SPREAD_SECONDS
 from fuchsiaspool.peers.messages import SettingsTell
 from fuchsiaspool.settings.objects import Bundle
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -14,13 +14,7 @@
 from fuchsiaspool.filters.claim import make_claim
 from fuchsiaspool.filters.deadline import make_deadline
 from fuchsiaspool.ids import NodeId, Nonce, OperationKey
-from fuchsiaspool.operations.answers import (
-    INLINE_BYTES,
-    LARGEST_BYTES,
-    PREFIX as ANSWERS,
-    make_answer_store,
-)
-from fuchsiaspool.operations.changes import (
+from fuchsiaspool.operation_records import (
     Claim,
     Done,
     Held,
@@ -28,6 +22,12 @@
     Release,
     Resolve,
 )
+from fuchsiaspool.operations.answers import (
+    INLINE_BYTES,
+    LARGEST_BYTES,
+    PREFIX as ANSWERS,
+    make_answer_store,
+)
 from fuchsiaspool.operations.claims import Claims
 from fuchsiaspool.operations.commits import GroupCommitter
 from fuchsiaspool.operations.keys import (
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -3,7 +3,7 @@
 from fuchsiaspool.addresses import parse_address
 from fuchsiaspool.clock import PausedClock
 from fuchsiaspool.ids import DataCentre, NodeId, Nonce, Region, Revision
-from fuchsiaspool.operations.changes import Claim, Done, Held
+from fuchsiaspool.operation_records import Claim, Done, Held
 from fuchsiaspool.operations.commits import GroupCommitter, decode_shard
 from fuchsiaspool.operations.keys import SHARDS, make_key, place_key
 from fuchsiaspool.operations.ownership import ShardOwners, choose_owner
