--- a/src/fuchsiaspool/controllers/admission.py
+++ b/src/fuchsiaspool/controllers/admission.py
@@ -118,7 +118,8 @@
 
     def _expect_wait(self, call: Call) -> float:
         """Return the seconds until a slot, behind those that go first."""
-        goes_first = (int(call.rank), not call.nested, 0.0, call.deadline, 0)
+        weight = call.deadline if call.nested else call.rank
+        goes_first = (int(call.rank), not call.nested, 0.0, weight, 0)
         behind = self._queue.bisect_key_left(goes_first)
         ahead = self.in_flight + behind + 1 - self.limit.value
         return float(max(0.0, ahead) * self._estimate / self.limit.value)
--- a/src/fuchsiaspool/controllers/threshold.py
+++ b/src/fuchsiaspool/controllers/threshold.py
@@ -96,8 +96,9 @@
     A remembered threshold rises with time, so that load returns by itself.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, rise: float = RISE_PER_SECOND) -> None:
         self._clock = clock
+        self._rise = rise
         self._learned: dict[tuple[ServiceName, OperationName], tuple[float, float]] = {}
 
     def learn(
@@ -116,7 +117,7 @@
         if found is None:
             return NO_THRESHOLD
         value, when = found
-        risen = value + (self._clock.now() - when) * RISE_PER_SECOND
+        risen = value + (self._clock.now() - when) * self._rise
         if risen >= NO_THRESHOLD:
             del self._learned[(service, operation)]
             return NO_THRESHOLD
--- a/src/fuchsiaspool/filters/explaining.py
+++ b/src/fuchsiaspool/filters/explaining.py
@@ -119,7 +119,7 @@
                 "busy": load.busy,
                 "room": load.room,
                 "service_ms": round(load.seconds * _MILLI, 1),
-                "level": round(view.find_level(), 2),
+                "sheds_above": round(view.find_level(), 2),
                 "unlogged": unlogged,
             },
         )
--- a/src/fuchsiaspool/filters/returning.py
+++ b/src/fuchsiaspool/filters/returning.py
@@ -1,11 +1,16 @@
 """Tell callers that were turned away when to return, and let them in first then."""
 
+from typing import Final
+
 from ..calls import Call, Filter, Next
 from ..clock import Clock
 from ..controllers.returns import Key, Returns
 from ..outcomes import NotRun, NotRunReason, Outcome
 
-_NO_ROOM = frozenset(
+# Part of its class that a due return is ranked in: it goes ahead of most new requests,
+# but where none of its class can be served the level still turns it away.
+RETURN_SHARE: Final = 0.25
+_NO_ROOM: Final = frozenset(
     (
         NotRunReason.SHED,
         NotRunReason.QUEUE_FULL,
@@ -23,7 +28,8 @@
             return following(call)
         key: Key = (call.method, call.host, call.target)
         if returns.welcome(key):
-            call.rank = float(int(call.rank))
+            base = int(call.rank)
+            call.rank = base + (call.rank - base) * RETURN_SHARE
         outcome = following(call)
         if isinstance(outcome, NotRun) and outcome.reason in _NO_ROOM:
             outcome.retry_after = returns.invite(key, call.aim - clock.now())
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -91,6 +91,9 @@
 QUEUE_TARGET_SECONDS: Final = 0.02
 QUEUE_WAIT_SECONDS: Final = 0.5
 SERVICE_SECONDS: Final = 0.05
+# What an entrance learned of a level rises by this until it hears of it again: slower
+# than the level itself, which is what finds out if there is room.
+LEVEL_RISE_PER_SECOND: Final = 0.3
 # Repeats that a node may make at once for a service, and the nodes among which the
 # platform's slack is shared out.
 REPEATS_AT_ONCE: Final = 3.0
@@ -167,7 +170,7 @@
             # Every node may add its part: half the slack, shared by a large fleet.
             options.retry_slack / options.retry_window / 2 / REPEATING_NODES,
         )
-        self.learned = LearnedThresholds(clock)
+        self.learned = LearnedThresholds(clock, LEVEL_RISE_PER_SECOND)
         self.contexts = Contexts(options.place.node)
         self.pool = Pool()
         to_server = ExchangeRules(
--- a/tests/deep_chain.py
+++ b/tests/deep_chain.py
@@ -35,6 +35,7 @@
 from fuchsiaspool.nesting import inherit
 from fuchsiaspool.node_load import NodeLoad
 from fuchsiaspool.outcomes import Answered, NotRun
+from fuchsiaspool.sidecar import LEVEL_RISE_PER_SECOND
 
 FRONT, DEEP = ServiceName("front"), ServiceName("deep")
 WAY_SECONDS = 0.0005
@@ -177,7 +178,7 @@
         return compose(
             [
                 make_returning(self.clock, Returns(self.clock, self.chance)),
-                make_shedding(LearnedThresholds(self.clock)),
+                make_shedding(LearnedThresholds(self.clock, LEVEL_RISE_PER_SECOND)),
             ],
             place,
         )
