--- a/src/fuchsiaspool/controllers/placement.py
+++ b/src/fuchsiaspool/controllers/placement.py
@@ -35,6 +35,11 @@
 # Costs this close are taken for equal, in seconds and as a share of the least.
 CLOSE_SECONDS: Final = 0.004
 CLOSE_SHARE: Final = 0.2
+# How much of the time of work counts: the rest is spent wherever a call goes, and a
+# call that makes calls takes long for reasons that are not its server's.
+WORK_SHARE: Final = 0.15
+# How much of it a nearly full server adds, before there is a queue.
+FULL_SHARE: Final = 0.3
 # A failed call costs its caller about this long.
 FAILURE_SECONDS: Final = 1.0
 FAILURE_GAIN: Final = 0.1
@@ -87,11 +92,11 @@
 
 
 def estimate_delay(load: NodeLoad, busy: float) -> float:
-    """Return the seconds until a call is answered where `busy` others are."""
+    """Return the seconds that a call costs where `busy` others are: mostly the wait."""
     use = min(1.0, busy / load.room)
     queued = max(0.0, busy + 1.0 - load.room)
     # A queue of calls moves one on whenever one of `room` slots comes free.
-    return load.seconds * (1.0 + 0.5 * use * use + queued / load.room)
+    return load.seconds * (WORK_SHARE + FULL_SHARE * use * use + queued / load.room)
 
 
 class Placement:
