--- a/src/fuchsiaspool/http/client.py
+++ b/src/fuchsiaspool/http/client.py
@@ -23,7 +23,7 @@
     join_bare_head,
     join_head,
 )
-from .sockets import Peek, peek, tune_socket
+from .sockets import Peek, peek, send_all, tune_socket
 
 CONNECT_SECONDS: Final = 1.0
 STALL_SECONDS: Final = 15.0
@@ -225,13 +225,13 @@
         headers = self._headers
         if body.whole and not body.head and call.method in _BODILESS_METHODS:
             self._handed_over = True
-            socket.sendall(join_bare_head(start, headers))
+            send_all(socket, join_bare_head(start, headers))
             return
         data = join_head(start, headers, body.length)
         self._handed_over = True
         if body.whole:
             body.started = True
-            socket.sendall(data + body.head)
+            send_all(socket, data + body.head)
             return
         try:
             self._stream(socket, data, body)
@@ -244,11 +244,11 @@
         # by its progress instead.
         span = self._remaining()
         socket.settimeout(STALL_SECONDS)
-        socket.sendall(data)
+        send_all(socket, data)
         for piece in body:
-            socket.sendall(frame_chunk(piece) if body.length is None else piece)
+            send_all(socket, frame_chunk(piece) if body.length is None else piece)
         if body.length is None:
-            socket.sendall(LAST_CHUNK)
+            send_all(socket, LAST_CHUNK)
         self._call.deadline = max(self._call.deadline, self._clock.now() + span)
 
     def _receive(self, connection: Connection, head: Head) -> Outcome:
--- a/src/fuchsiaspool/http/server.py
+++ b/src/fuchsiaspool/http/server.py
@@ -26,7 +26,7 @@
     join_bare_head,
     join_head,
 )
-from .sockets import Peek, peek, tune_socket
+from .sockets import Peek, peek, send_all, tune_socket
 from .speech import OWN_SPEECH, Speech
 
 _LOG = logging.getLogger(__name__)
@@ -115,15 +115,22 @@
     def _serve(self, socket: Any, peer: tuple[str, int]) -> None:
         tune_socket(socket)
         reader = MessageReader(socket, for_requests=True)
+        # One watcher serves all requests of the connection: a new one for each would
+        # be announced to the kernel anew.
+        watcher = gevent.get_hub().loop.io(socket.fileno(), _READ_EVENT)
         try:
-            while self._serve_one(socket, reader, peer[0]):
+            while self._serve_one(socket, reader, watcher, peer[0]):
                 reader.reset()
         except (ClosedError, BodyError, OSError):
             return
         finally:
+            watcher.stop()
+            watcher.close()
             socket.close()
 
-    def _serve_one(self, socket: Any, reader: MessageReader, peer: str) -> bool:
+    def _serve_one(
+        self, socket: Any, reader: MessageReader, watcher: Any, peer: str
+    ) -> bool:
         try:
             head = self._await_head(socket, reader)
         except HeaderTooLargeError as error:
@@ -141,7 +148,8 @@
         except MessageError as error:
             self._refuse(socket, NotRunReason.BAD_REQUEST, str(error))
             return False
-        return self._answer(socket, reader, Request(head, body, peer, Cancellation()))
+        request = Request(head, body, peer, Cancellation())
+        return self._answer(socket, reader, watcher, request)
 
     def _await_head(self, socket: Any, reader: MessageReader) -> Head:
         if not reader.began:
@@ -162,15 +170,16 @@
             return Body(reader.read_body())
         for name, value in head.headers:
             if name == b"expect" and value.lower() == b"100-continue":
-                socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+                send_all(socket, b"HTTP/1.1 100 Continue\r\n\r\n")
         with gevent.Timeout(BODY_SECONDS, TimeoutError("body stalled")):
             first = reader.read_body(BUFFER_BYTES)
         if reader.complete:
             return Body(first)
         return Body(first, head.length, reader.iterate_rest())
 
-    def _answer(self, socket: Any, reader: MessageReader, request: Request) -> bool:
-        watcher = gevent.get_hub().loop.io(socket.fileno(), _READ_EVENT)
+    def _answer(
+        self, socket: Any, reader: MessageReader, watcher: Any, request: Request
+    ) -> bool:
         if request.body.whole and not reader.pending:
             watcher.start(_watch_caller, socket, watcher, request.cancellation)
         reply = None
@@ -183,7 +192,6 @@
             return keep and whole
         finally:
             watcher.stop()
-            watcher.close()
             if reply is not None:
                 reply.finish(whole)
 
@@ -224,13 +232,13 @@
     start = b"HTTP/1.1 %d %b" % (status, _REASONS.get(status, b""))
     socket.settimeout(STALL_SECONDS)
     if status in (204, 304):
-        socket.sendall(join_bare_head(start, headers))
+        send_all(socket, join_bare_head(start, headers))
         return True
     data = join_head(start, headers, body.length)
     if body.whole:
         if method != "HEAD":
             data += body.head
-        socket.sendall(data)
+        send_all(socket, data)
         return True
     return _stream(socket, data, body)
 
@@ -238,13 +246,13 @@
 def _stream(socket: Any, data: bytes, body: Body) -> bool:
     # A cut body ends the connection without the last chunk or the full length,
     # so that no caller can take a truncated answer for a whole one.
-    socket.sendall(data)
+    send_all(socket, data)
     sent = 0
     for piece in body:
         sent += len(piece)
-        socket.sendall(frame_chunk(piece) if body.length is None else piece)
+        send_all(socket, frame_chunk(piece) if body.length is None else piece)
     if body.length is None:
-        socket.sendall(LAST_CHUNK)
+        send_all(socket, LAST_CHUNK)
         return True
     return sent == body.length
 
--- a/src/fuchsiaspool/http/sockets.py
+++ b/src/fuchsiaspool/http/sockets.py
@@ -40,6 +40,13 @@
     socket.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, SILENT_MILLISECONDS)
 
 
+def send_all(socket: Any, data: bytes) -> None:
+    """Send every byte; mostly one call does, without asking for the buffer's size."""
+    sent = socket.send(data)
+    if sent < len(data):
+        socket.sendall(memoryview(data)[sent:])
+
+
 def peek(socket: Any) -> Peek:
     """Tell if bytes wait or the peer has gone; safe inside the event loop."""
     timeout = socket.gettimeout()
