--- a/src/fuchsiaspool/controllers/admission.py
+++ b/src/fuchsiaspool/controllers/admission.py
@@ -92,7 +92,8 @@
         """Wait for a slot; return a refusal where there is none in time."""
         if not self._learns_room:
             # Order decides here; the level tells entrances what not to send.
-            self.level.observe(call.rank, self._expect_wait(call))
+            queue = self._measure_wait(len(self._queue))
+            self.level.observe(call.rank, self._expect_wait(call), queue)
         else:
             self.shedding.offer(call.rank)
             if not call.critical and call.rank > self.threshold:
@@ -120,8 +121,10 @@
         """Return the seconds until a slot, behind those that go first."""
         weight = call.deadline if call.nested else call.rank
         goes_first = (int(call.rank), not call.nested, 0.0, weight, 0)
-        behind = self._queue.bisect_key_left(goes_first)
-        ahead = self.in_flight + behind + 1 - self.limit.value
+        return self._measure_wait(self._queue.bisect_key_left(goes_first))
+
+    def _measure_wait(self, queued: int) -> float:
+        ahead = self.in_flight + queued + 1 - self.limit.value
         return float(max(0.0, ahead) * self._estimate / self.limit.value)
 
     def _wait(self, call: Call) -> NotRun | None:
--- a/src/fuchsiaspool/controllers/level.py
+++ b/src/fuchsiaspool/controllers/level.py
@@ -36,7 +36,7 @@
         self.value = NO_THRESHOLD
         self._clock = clock
         self._target = target
-        self._worst_wait = 0.0
+        self._standing = float("inf")
         self._floor = NO_THRESHOLD
         self._top = LEAST_LEVEL
         self._refused = 0.0
@@ -50,11 +50,16 @@
         """Note if the server refused a call although it had room."""
         self._refused += (float(refused) - self._refused) * REFUSED_GAIN
 
-    def observe(self, rank: float, wait: float) -> None:
-        """Note an arriving call of a rank, and the wait that it meets in seconds."""
+    def observe(self, rank: float, wait: float, queue: float) -> None:
+        """Note an arriving call of a rank; times in seconds.
+
+        It meets a `wait` behind those that go first, in a `queue` of so long in all.
+        Only what is left of the queue at its shortest calls for a lower level: calls
+        that come in a clump are served without turning any away.
+        """
         # Turning away starts at the least important class that is there.
         self._top = max(self._top, float(int(rank) + 1))
-        self._worst_wait = max(self._worst_wait, wait)
+        self._standing = min(self._standing, queue)
         if wait > self._target:
             self._floor = min(self._floor, float(int(rank)))
         now = self._clock.now()
@@ -62,7 +67,7 @@
         if steps < 1:
             return
         self._stepped = now
-        excess = self._worst_wait / self._target
+        excess = self._standing / self._target
         if excess <= 1.0 and self._refused > REFUSED_SHARE:
             # Fewer chains leave each a larger part of the repeats that are allowed.
             excess = self._refused / REFUSED_SHARE
@@ -76,5 +81,5 @@
             self.value += RISE * steps
             if self.value >= self._top:
                 self.value = NO_THRESHOLD
-        self._worst_wait = 0.0
+        self._standing = float("inf")
         self._floor = NO_THRESHOLD
--- a/src/fuchsiaspool/controllers/placement.py
+++ b/src/fuchsiaspool/controllers/placement.py
@@ -39,7 +39,7 @@
 # call that makes calls takes long for reasons that are not its server's.
 WORK_SHARE: Final = 0.15
 # How much of it a nearly full server adds, before there is a queue.
-FULL_SHARE: Final = 0.3
+FULL_SHARE: Final = 1.0
 # A failed call costs its caller about this long.
 FAILURE_SECONDS: Final = 1.0
 FAILURE_GAIN: Final = 0.1
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -88,7 +88,7 @@
 FIRST_SLOTS: Final = 16
 # Servers may slow down when their last slots are taken.
 ROOM_SHARE: Final = 0.95
-QUEUE_TARGET_SECONDS: Final = 0.02
+QUEUE_TARGET_SECONDS: Final = 0.03
 QUEUE_WAIT_SECONDS: Final = 0.5
 SERVICE_SECONDS: Final = 0.05
 # What an entrance learned of a level rises by this until it hears of it again: slower
--- a/tests/test_load_decisions.py
+++ b/tests/test_load_decisions.py
@@ -55,8 +55,9 @@
 
     def feed(self, steps, *arrivals):
         for _ in range(steps):
+            queue = max(wait for _, wait in arrivals)
             for rank, wait in arrivals:
-                self.level.observe(rank, wait)
+                self.level.observe(rank, wait, queue)
             self.clock.advance(0.051)
 
     def test_it_falls_while_calls_wait_and_returns_when_none_does(self):
@@ -69,6 +70,14 @@
         self.feed(200, (1.5, 0.0), (2.5, 0.5))
         self.assertEqual(self.level.value, 2.0)
 
+    def test_a_clump_that_the_server_gets_through_turns_away_nobody(self):
+        for _ in range(100):
+            self.level.observe(2.5, 0.2, 0.2)
+            self.clock.advance(0.03)
+            self.level.observe(2.5, 0.0, 0.0)
+            self.clock.advance(0.03)
+        self.assertEqual(self.level.value, NO_THRESHOLD)
+
     def test_critical_calls_are_never_turned_away(self):
         self.feed(200, (0.5, 1.0), (2.5, 1.0))
         self.assertGreaterEqual(self.level.value, 1.0)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -370,6 +370,29 @@
         expected = server.requests[-1].headers["fuchsiaspool-expected-instance"]
         self.assertEqual(expected, "i-7")
 
+    def test_what_comes_just_before_a_stopping_node_closes_is_answered(self):
+        def script(request):
+            gevent.sleep(0.4)
+            return request.answer()
+
+        self.start_pair(script)
+        address = self.edge.options.outbound
+        kept = gevent.socket.create_connection((address.host, address.port))
+        request = (
+            b"GET /read/1 HTTP/1.1\r\nHost: h.example\r\n"
+            b"Fuchsiaspool-Attempt-Id: a1\r\nFuchsiaspool-Deadline-Ms: 900\r\n\r\n"
+        )
+        kept.sendall(request)
+        self.assertIn(b"200 OK", kept.recv(65536))
+        gevent.spawn(self.edge.stop)
+        # The listeners close half a grace after the signal, which is 1 s here.
+        gevent.sleep(0.85)
+        fresh = gevent.socket.create_connection((address.host, address.port))
+        for socket in (kept, fresh):
+            socket.sendall(request)
+        for socket in (kept, fresh):
+            self.assertIn(b"200 OK", socket.recv(65536))
+
     def test_an_outage_of_the_store_stops_nothing_that_runs(self):
         self.start_pair()
         self.platform.faults.down = True
