--- a/src/fuchsiaspool/filters/shedding.py
+++ b/src/fuchsiaspool/filters/shedding.py
@@ -5,8 +5,12 @@
 from ..outcomes import NO_THRESHOLD, Answered, NotRun, NotRunReason, Outcome
 
 
-def make_shedding(learned: LearnedThresholds) -> Filter:
-    """Return a filter that refuses calls above the learned threshold."""
+def make_shedding(learned: LearnedThresholds, learns_from_all: bool = True) -> Filter:
+    """Return a filter that refuses calls above the learned threshold.
+
+    Unless it `learns_from_all`, an outcome made on this side of the server, such as a
+    timeout, is not taken for the word of a server that sheds nothing.
+    """
 
     def shed(call: Call, following: Next) -> Outcome:
         threshold = learned.find(call.service, call.operation)
@@ -15,8 +19,8 @@
             detail = "shed before sending"
             return NotRun(NotRunReason.SHED, detail, threshold=threshold)
         outcome = following(call)
-        # An outcome made on this side of the server tells nothing of its threshold.
-        if isinstance(outcome, Answered) or outcome.threshold < NO_THRESHOLD:
+        told = isinstance(outcome, Answered) or outcome.threshold < NO_THRESHOLD
+        if learns_from_all or told:
             learned.learn(call.service, call.operation, outcome.threshold)
         return outcome
 
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -222,7 +222,7 @@
                 make_lookup(lambda: self.table, self.rotation),
                 make_deadline(clock),
                 make_returning(clock, Returns(clock, self.chance)),
-                make_shedding(self.learned),
+                make_shedding(self.learned, learns_from_all=False),
             ],
             make_placing(clock, self.placement, self.ratio, forward),
         )
--- a/tests/deep_chain.py
+++ b/tests/deep_chain.py
@@ -178,7 +178,9 @@
         return compose(
             [
                 make_returning(self.clock, Returns(self.clock, self.chance)),
-                make_shedding(LearnedThresholds(self.clock, LEVEL_RISE_PER_SECOND)),
+                make_shedding(
+                    LearnedThresholds(self.clock, LEVEL_RISE_PER_SECOND), False
+                ),
             ],
             place,
         )
