Answer what has arrived unread when a stopping node closes its listeners

Ruled out: calls in flight, kept and fresh connections (test_what_comes_just_before_...). test_a_request_that_waits_unread_when_listeners_close_is_answered failed before, holds now.

--- a/src/fuchsiaspool/http/server.py
+++ b/src/fuchsiaspool/http/server.py
@@ -105,7 +105,10 @@
         self._server.stop_accepting()
         self._server.close()
         for socket in list(self._idle):
-            _shut(socket)
+            # What has arrived but was not read yet is a request like any other.
+            if peek(socket) is not Peek.DATA:
+                self._idle.discard(socket)
+                _shut(socket)
 
     def kill(self) -> None:
         """Cut every connection."""
@@ -157,6 +160,9 @@
             try:
                 socket.settimeout(self._speech.get_idle_seconds())
                 reader.receive()
+                if socket not in self._idle:
+                    # It crossed the close: nobody could hear the answer.
+                    raise ClosedError(began=False)
             finally:
                 self._idle.discard(socket)
         if reader.complete:
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -355,8 +355,7 @@
         closing = started + min(CLOSING_SECONDS, self.options.grace / 2)
         while self.admission.in_flight and self.clock.now() < closing:
             gevent.sleep(QUIET_SECONDS)
-        self._inbound_server.stop_accepting()
-        self._outbound_server.stop_accepting()
+        self.close_listeners()
         while self._active and self.clock.now() < last:
             gevent.sleep(QUIET_SECONDS)
         for call in self._active.values():
@@ -366,6 +365,11 @@
         _LOG.info("stopped", extra={"seconds": self.clock.now() - started})
         self.stopped.set()
 
+    def close_listeners(self) -> None:
+        """Take no more connections; what has been sent already is still answered."""
+        self._inbound_server.stop_accepting()
+        self._outbound_server.stop_accepting()
+
     def cut(self) -> None:
         """Stop at once, whatever is in flight."""
         self.state = NodeState.STOPPED
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -8,6 +8,7 @@
 import gevent
 import gevent.socket
 import urllib3
+from gevent.monkey import get_original
 from gevent.server import StreamServer
 
 from fuchsiaspool.addresses import Address
@@ -393,6 +394,21 @@
         for socket in (kept, fresh):
             self.assertIn(b"200 OK", socket.recv(65536))
 
+    def test_a_request_that_waits_unread_when_listeners_close_is_answered(self):
+        self.start_pair()
+        address = self.edge.options.outbound
+        socket = gevent.socket.create_connection((address.host, address.port))
+        # The node waits for a first request by now.
+        gevent.sleep(0.05)
+        socket.sendall(
+            b"GET /read/1 HTTP/1.1\r\nHost: h.example\r\n"
+            b"Fuchsiaspool-Attempt-Id: a1\r\nFuchsiaspool-Deadline-Ms: 900\r\n\r\n"
+        )
+        # It arrives while nothing of this process runs.
+        get_original("time", "sleep")(0.05)
+        self.edge.close_listeners()
+        self.assertIn(b"200 OK", socket.recv(65536))
+
     def test_an_outage_of_the_store_stops_nothing_that_runs(self):
         self.start_pair()
         self.platform.faults.down = True
