Give each run of the tests ports of its own

Change: a run claims a block of ports by holding a datagram socket on its first port. Shown: two runs of test_demo_path at the same time, which took 22000 both before, pass; test_sidecar, test_edges, test_stop, test_load_decisions pass.

--- a/tests/support.py
+++ b/tests/support.py
@@ -1,6 +1,6 @@
 """Small fakes and builders that tests share."""
 
-import itertools
+import socket
 import struct
 from socket import SO_LINGER, SOL_SOCKET
 
@@ -134,13 +134,43 @@
         self._server.stop(timeout=0)
 
 
-_ports = itertools.count(24_000)
+# Below the ports that the kernel gives to outgoing connections.
+FIRST_PORT = 10_000
+PORTS_PER_RUN = 600
+RUNS_AT_ONCE = 16
+
+
+def _claim_ports():
+    """Claim a block of ports that no other run of the tests on this machine takes."""
+    for block in range(RUNS_AT_ONCE):
+        first = FIRST_PORT + block * PORTS_PER_RUN
+        claim = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            claim.bind(("127.0.0.1", first))
+        except OSError:
+            claim.close()
+            continue
+        # The claim lasts as long as this process.
+        return claim, iter(range(first, first + PORTS_PER_RUN))
+    raise RuntimeError(f"{RUNS_AT_ONCE} runs of the tests at once")
+
+
+_claim, _ports = _claim_ports()
 
 
 def take_address():
+    """Return an address that nothing else in this run of the tests listens on."""
     return Address("127.0.0.1", next(_ports))
 
 
+def take_span(count):
+    """Return the first of several ports in a row, to be given out by the caller."""
+    first = next(_ports)
+    for _ in range(count - 1):
+        next(_ports)
+    return first
+
+
 def make_options(server, node="a", service=QUOTA, centre="north-1", **fields):
     return NodeOptions(
         make_place(node, service, centre, fields.pop("region", "north")),
--- a/tests/test_demo_path.py
+++ b/tests/test_demo_path.py
@@ -5,10 +5,14 @@
 from fuchsiaspool import demo, sites
 from fuchsiaspool.ids import TeamName
 
+from .support import take_span
+
+SPAN = 200
+
 
 class WholePathTests(unittest.TestCase):
     def test_a_call_crosses_the_whole_chain_and_settings_come_into_force(self):
-        ports = sites.Ports(22_000)
+        ports = sites.Ports(take_span(SPAN))
         platform = demo.PlatformStandin(ports.take())
         platform.start()
         self.addCleanup(platform.stop)
