Prefer near data centres more, read connections when readable, take changed settings

Cause 2: each read tried first, and each wait made a timeout object. Change: Channel; one timer for all limits. Change: grace, heartbeat, retry and link settings are taken; announcements whose revision did not change for six minutes are removed by one node.

--- a/src/fuchsiaspool/controllers/placement.py
+++ b/src/fuchsiaspool/controllers/placement.py
@@ -29,17 +29,19 @@
 FAR_SECONDS: Final = 0.06
 # What a crossing between regions costs besides its time: the link is narrow and
 # paid by volume. In seconds of waiting that it is worth.
-CROSSING_SECONDS: Final = 0.04
+CROSSING_SECONDS: Final = 0.08
 # The same for bytes between data centres of a region, which some sites pay dearly.
-CENTRE_SECONDS: Final = 0.008
+CENTRE_SECONDS: Final = 0.03
 # Costs this close are taken for equal, in seconds and as a share of the least.
 CLOSE_SECONDS: Final = 0.004
 CLOSE_SHARE: Final = 0.2
 # How much of the time of work counts: the rest is spent wherever a call goes, and a
 # call that makes calls takes long for reasons that are not its server's.
 WORK_SHARE: Final = 0.15
-# How much of it a nearly full server adds, before there is a queue.
+# How much of it a nearly full server adds, before there is a queue; below nine tenths
+# of its room a server is hardly slower than an idle one.
 FULL_SHARE: Final = 1.0
+FULL_POWER: Final = 8
 # A failed call costs its caller about this long.
 FAILURE_SECONDS: Final = 1.0
 FAILURE_GAIN: Final = 0.1
@@ -96,7 +98,7 @@
     use = min(1.0, busy / load.room)
     queued = max(0.0, busy + 1.0 - load.room)
     # A queue of calls moves one on whenever one of `room` slots comes free.
-    return load.seconds * (WORK_SHARE + FULL_SHARE * use * use + queued / load.room)
+    return load.seconds * (WORK_SHARE + FULL_SHARE * use**FULL_POWER + queued / load.room)
 
 
 class Placement:
--- a/src/fuchsiaspool/controllers/registry.py
+++ b/src/fuchsiaspool/controllers/registry.py
@@ -1,6 +1,8 @@
 """Announce this node in the platform and read who else did."""
 
+import logging
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Final
 
 import msgspec
@@ -8,10 +10,19 @@
 from ..clock import Clock
 from ..ids import NodeId, Version
 from ..member_records import Member, MemberState
-from ..platform.objects import Applied, Conflict, Listing, ObjectKey, Platform
+from ..platform.objects import (
+    Applied,
+    Conflict,
+    Listing,
+    ObjectKey,
+    Platform,
+    StoredObject,
+)
 from ..results import Err, Ok
 from .members import MemberTable
+from .subsets import choose_subset
 
+_LOG = logging.getLogger(__name__)
 PREFIX: Final = "members/"
 RENEW_SECONDS: Final = 60.0
 LEASE_SECONDS: Final = 180.0
@@ -27,8 +38,20 @@
     lease: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Sighting:
+    """Hold a revision of an announcement and the monotonic second it was first seen."""
+
+    version: Version
+    since: float
+
+
 class Registry:
-    """Keep this node's announcement alive under conditional updates."""
+    """Keep this node's announcement alive under conditional updates.
+
+    Nothing expires in the platform: an announcement that was not renewed for long
+    while the platform answered is removed by one of the nodes that are there.
+    """
 
     def __init__(
         self,
@@ -44,6 +67,7 @@
         self._get_own = get_own
         self._version: Version | None = None
         self._trusted_since: float | None = None
+        self._seen: dict[ObjectKey, _Sighting] = {}
 
     def announce(self) -> bool:
         """Create or renew the announcement; tell if it holds."""
@@ -73,6 +97,7 @@
         listed = self._platform.list_prefix(PREFIX)
         if isinstance(listed, Err):
             self._trusted_since = None
+            self._seen.clear()
             return False
         now = self._clock.now()
         if self._trusted_since is None:
@@ -80,6 +105,7 @@
         alive = self._merge(listed.value)
         if now - self._trusted_since >= TRUST_SECONDS:
             self._bury_lapsed(alive)
+        self._remove_abandoned(listed.value)
         return True
 
     def _merge(self, listing: Listing) -> set[NodeId]:
@@ -106,6 +132,31 @@
                 dead = msgspec.structs.replace(member, state=MemberState.DEAD)
                 self._table.merge(dead)
 
+    def _remove_abandoned(self, listing: Listing) -> None:
+        now = self._clock.now()
+        # The age of a revision, by the steady clock, needs no agreement on the time.
+        self._seen = {
+            stored.key: self._keep_sighting(stored, now) for stored in listing.items
+        }
+        for key, sighting in self._seen.items():
+            if now - sighting.since < TRUST_SECONDS or key == make_key(self._get_own()):
+                continue
+            if self._is_remover(key):
+                _LOG.info("abandoned announcement removed", extra={"key": key})
+                self._platform.delete(key, sighting.version)
+
+    def _keep_sighting(self, stored: StoredObject, now: float) -> _Sighting:
+        known = self._seen.get(stored.key)
+        if known is not None and known.version == stored.version:
+            return known
+        return _Sighting(stored.version, now)
+
+    def _is_remover(self, key: ObjectKey) -> bool:
+        alive = [m for m in self._table.list_all() if m.state is MemberState.ALIVE]
+        others = [m for m in alive if make_key(m) != key]
+        chosen = choose_subset(NodeId(key), others, 1)
+        return any(member.node == self._get_own().node for member in chosen)
+
     def _read_version(self, key: ObjectKey) -> Version | None:
         match self._platform.get(key):
             case Ok(stored):
--- a/src/fuchsiaspool/controllers/retries.py
+++ b/src/fuchsiaspool/controllers/retries.py
@@ -28,6 +28,12 @@
         self._trickle = trickle
         self._buckets: dict[ServiceName, TokenBucket] = {}
 
+    def configure(self, trickle: float) -> None:
+        """Take another rate, in retries a second, for what is free of the share."""
+        self._trickle = trickle
+        for bucket in self._buckets.values():
+            bucket.rate = trickle
+
     def count_first(self, service: ServiceName, ratio: float) -> None:
         """Put in the share of one first attempt."""
         self._find(service).put(ratio)
--- a/src/fuchsiaspool/http/client.py
+++ b/src/fuchsiaspool/http/client.py
@@ -12,6 +12,7 @@
 from ..calls import Call
 from ..clock import Clock
 from ..outcomes import Answered, NotRun, NotRunReason, Outcome, Unknown, UnknownReason
+from .channels import Channel
 from .messages import (
     LAST_CHUNK,
     ClosedError,
@@ -23,7 +24,7 @@
     join_bare_head,
     join_head,
 )
-from .sockets import Peek, peek, send_all, tune_socket
+from .sockets import Peek
 
 CONNECT_SECONDS: Final = 1.0
 STALL_SECONDS: Final = 15.0
@@ -56,29 +57,22 @@
 
 
 class Connection:
-    """Hold one socket to a server and its reader; `expires` in monotonic seconds."""
+    """Hold one connection and its reader; `expires` in monotonic seconds."""
 
-    __slots__ = ("socket", "reader", "expires")
+    __slots__ = ("channel", "reader", "expires")
 
     def __init__(self, socket: Any) -> None:
-        self.socket = socket
-        self.reader = MessageReader(socket, for_requests=False)
+        self.channel = Channel(socket)
+        self.reader = MessageReader(self.channel, for_requests=False)
         self.expires = 0.0
 
     def is_stale(self) -> bool:
         """Tell if the server closed the connection or sent bytes unasked."""
-        return peek(self.socket) is not Peek.QUIET
-
-    def abort(self) -> None:
-        """Cut the connection, so that whoever waits on it wakes."""
-        try:
-            self.socket.shutdown(gevent.socket.SHUT_RDWR)
-        except OSError:
-            return
+        return self.channel.peek() is not Peek.QUIET
 
     def close(self) -> None:
-        """Close the socket."""
-        self.socket.close()
+        """Close the connection."""
+        self.channel.close()
 
 
 class Pool:
@@ -104,7 +98,6 @@
         socket = gevent.socket.create_connection(
             (address.host, address.port), min(CONNECT_SECONDS, timeout)
         )
-        tune_socket(socket)
         return Connection(socket)
 
     def give(
@@ -124,6 +117,7 @@
             connection.close()
             return
         connection.reader.reset()
+        connection.channel.limit(float("inf"))
         idle.append(connection)
 
     def forget(self, address: Address) -> None:
@@ -171,7 +165,7 @@
             except OSError as error:
                 return NotRun(NotRunReason.CONNECT_FAILED, str(error))
         self._connection = connection
-        forget = call.cancellation.add(connection.abort)
+        forget = call.cancellation.add(connection.channel.abort)
         try:
             outcome = self._exchange(connection)
         except TimeoutError:
@@ -198,7 +192,7 @@
         self._send(connection)
         reader = connection.reader
         for _ in range(FOREIGN_ANSWERS + 1):
-            connection.socket.settimeout(self._remaining())
+            connection.channel.limit(self._remaining())
             head = reader.read_head()
             if self._rules.belongs(self._call, head):
                 return self._receive(connection, head)
@@ -219,36 +213,36 @@
     def _send(self, connection: Connection) -> None:
         call = self._call
         body = call.body
-        socket = connection.socket
-        socket.settimeout(self._remaining())
+        channel = connection.channel
+        channel.limit(self._remaining())
         start = f"{call.method} {call.target} HTTP/1.1".encode("latin-1")
         headers = self._headers
         if body.whole and not body.head and call.method in _BODILESS_METHODS:
             self._handed_over = True
-            send_all(socket, join_bare_head(start, headers))
+            channel.send(join_bare_head(start, headers))
             return
         data = join_head(start, headers, body.length)
         self._handed_over = True
         if body.whole:
             body.started = True
-            send_all(socket, data + body.head)
+            channel.send(data + body.head)
             return
         try:
-            self._stream(socket, data, body)
+            self._stream(channel, data, body)
         except (BrokenPipeError, ConnectionResetError):
             # The server may have answered early; its answer is read next.
             return
 
-    def _stream(self, socket: Any, data: bytes, body: Body) -> None:
+    def _stream(self, channel: Channel, data: bytes, body: Body) -> None:
         # The deadline bounds the wait for an answer; a long upload is bounded
         # by its progress instead.
         span = self._remaining()
-        socket.settimeout(STALL_SECONDS)
-        send_all(socket, data)
+        channel.limit_stalls(STALL_SECONDS)
+        channel.send(data)
         for piece in body:
-            send_all(socket, frame_chunk(piece) if body.length is None else piece)
+            channel.send(frame_chunk(piece) if body.length is None else piece)
         if body.length is None:
-            send_all(socket, LAST_CHUNK)
+            channel.send(LAST_CHUNK)
         self._call.deadline = max(self._call.deadline, self._clock.now() + span)
 
     def _receive(self, connection: Connection, head: Head) -> Outcome:
@@ -281,7 +275,7 @@
 
     def _iterate(self, connection: Connection, head: Head) -> Iterator[bytes]:
         done = False
-        connection.socket.settimeout(STALL_SECONDS)
+        connection.channel.limit_stalls(STALL_SECONDS)
         try:
             yield from connection.reader.iterate_rest()
             done = True
--- a/src/fuchsiaspool/http/server.py
+++ b/src/fuchsiaspool/http/server.py
@@ -15,6 +15,7 @@
 from ..bodies import BUFFER_BYTES, Body, BodyError, Headers
 from ..calls import Cancellation
 from ..outcomes import Answered, NotRun, NotRunReason, Outcome
+from .channels import Channel
 from .messages import (
     LAST_CHUNK,
     ClosedError,
@@ -26,14 +27,13 @@
     join_bare_head,
     join_head,
 )
-from .sockets import Peek, peek, send_all, tune_socket
+from .sockets import Peek
 from .speech import OWN_SPEECH, Speech
 
 _LOG = logging.getLogger(__name__)
 HEADER_SECONDS: Final = 5.0
 STALL_SECONDS: Final = 5.0
 BODY_SECONDS: Final = 30.0
-_READ_EVENT: Final = 1
 _REASONS: Final = {s.value: s.phrase.encode() for s in HTTPStatus}
 
 
@@ -82,7 +82,7 @@
         self._server = StreamServer(
             (address.host, address.port), self._serve, spawn=limit, backlog=1024
         )
-        self._idle: set[Any] = set()
+        self._idle: set[Channel] = set()
         self.stopping = False
 
     def start(self) -> None:
@@ -104,11 +104,11 @@
         self.stopping = True
         self._server.stop_accepting()
         self._server.close()
-        for socket in list(self._idle):
+        for channel in list(self._idle):
             # What has arrived but was not read yet is a request like any other.
-            if peek(socket) is not Peek.DATA:
-                self._idle.discard(socket)
-                _shut(socket)
+            if channel.peek() is not Peek.DATA:
+                self._idle.discard(channel)
+                channel.abort()
 
     def kill(self) -> None:
         """Cut every connection."""
@@ -116,67 +116,60 @@
         self._server.stop(timeout=0)
 
     def _serve(self, socket: Any, peer: tuple[str, int]) -> None:
-        tune_socket(socket)
-        reader = MessageReader(socket, for_requests=True)
-        # One watcher serves all requests of the connection: a new one for each would
-        # be announced to the kernel anew.
-        watcher = gevent.get_hub().loop.io(socket.fileno(), _READ_EVENT)
+        channel = Channel(socket)
+        reader = MessageReader(channel, for_requests=True)
         try:
-            while self._serve_one(socket, reader, watcher, peer[0]):
+            while self._serve_one(channel, reader, peer[0]):
                 reader.reset()
         except (ClosedError, BodyError, OSError):
             return
         finally:
-            watcher.stop()
-            watcher.close()
-            socket.close()
+            channel.close()
 
-    def _serve_one(
-        self, socket: Any, reader: MessageReader, watcher: Any, peer: str
-    ) -> bool:
+    def _serve_one(self, channel: Channel, reader: MessageReader, peer: str) -> bool:
         try:
-            head = self._await_head(socket, reader)
+            head = self._await_head(channel, reader)
         except HeaderTooLargeError as error:
-            self._refuse(socket, NotRunReason.HEADER_TOO_LARGE, str(error))
+            self._refuse(channel, NotRunReason.HEADER_TOO_LARGE, str(error))
             return False
         except MessageError as error:
-            self._refuse(socket, NotRunReason.BAD_REQUEST, str(error))
+            self._refuse(channel, NotRunReason.BAD_REQUEST, str(error))
             return False
-        socket.settimeout(STALL_SECONDS)
+        channel.limit_stalls(STALL_SECONDS)
         try:
-            body = self._read_body(socket, reader, head)
+            body = self._read_body(channel, reader, head)
         except TimeoutError:
-            self._refuse(socket, NotRunReason.BODY_STALLED, "body stalled")
+            self._refuse(channel, NotRunReason.BODY_STALLED, "body stalled")
             return False
         except MessageError as error:
-            self._refuse(socket, NotRunReason.BAD_REQUEST, str(error))
+            self._refuse(channel, NotRunReason.BAD_REQUEST, str(error))
             return False
         request = Request(head, body, peer, Cancellation())
-        return self._answer(socket, reader, watcher, request)
+        return self._answer(channel, reader, request)
 
-    def _await_head(self, socket: Any, reader: MessageReader) -> Head:
+    def _await_head(self, channel: Channel, reader: MessageReader) -> Head:
         if not reader.began:
-            self._idle.add(socket)
+            self._idle.add(channel)
             try:
-                socket.settimeout(self._speech.get_idle_seconds())
+                channel.limit(self._speech.get_idle_seconds())
                 reader.receive()
-                if socket not in self._idle:
+                if channel not in self._idle:
                     # It crossed the close: nobody could hear the answer.
                     raise ClosedError(began=False)
             finally:
-                self._idle.discard(socket)
+                self._idle.discard(channel)
         if reader.complete:
             return reader.read_head()
         # Idle time is generous; a header once begun has to come swiftly.
         with gevent.Timeout(HEADER_SECONDS, TimeoutError("header stalled")):
             return reader.read_head()
 
-    def _read_body(self, socket: Any, reader: MessageReader, head: Head) -> Body:
+    def _read_body(self, channel: Channel, reader: MessageReader, head: Head) -> Body:
         if reader.complete:
             return Body(reader.read_body())
         for name, value in head.headers:
             if name == b"expect" and value.lower() == b"100-continue":
-                send_all(socket, b"HTTP/1.1 100 Continue\r\n\r\n")
+                channel.send(b"HTTP/1.1 100 Continue\r\n\r\n")
         with gevent.Timeout(BODY_SECONDS, TimeoutError("body stalled")):
             first = reader.read_body(BUFFER_BYTES)
         if reader.complete:
@@ -184,41 +177,41 @@
         return Body(first, head.length, reader.iterate_rest())
 
     def _answer(
-        self, socket: Any, reader: MessageReader, watcher: Any, request: Request
+        self, channel: Channel, reader: MessageReader, request: Request
     ) -> bool:
         if request.body.whole and not reader.pending:
-            watcher.start(_watch_caller, socket, watcher, request.cancellation)
+            channel.watch(lambda: _note_caller(channel, request.cancellation))
         reply = None
         whole = False
         try:
             reply = self._handle(request)
-            watcher.stop()
+            channel.unwatch()
             keep = request.head.keep_alive and not self.stopping and reader.complete
-            whole = _deliver(socket, request.head.method, reply, keep, self._speech)
+            whole = _deliver(channel, request.head.method, reply, keep, self._speech)
             return keep and whole
         finally:
-            watcher.stop()
+            channel.unwatch()
             if reply is not None:
                 reply.finish(whole)
 
-    def _refuse(self, socket: Any, reason: NotRunReason, detail: str) -> None:
+    def _refuse(self, channel: Channel, reason: NotRunReason, detail: str) -> None:
         _LOG.info("request refused", extra={"reason": reason.value, "detail": detail})
         outcome = NotRun(reason, detail)
         reply = Reply(outcome, [], lambda whole: None)
-        _deliver(socket, "GET", reply, False, self._speech)
+        _deliver(channel, "GET", reply, False, self._speech)
 
 
-def _watch_caller(socket: Any, watcher: Any, cancellation: Cancellation) -> None:
-    found = peek(socket)
+def _note_caller(channel: Channel, cancellation: Cancellation) -> None:
+    found = channel.peek()
     if found is Peek.QUIET:
         return
-    watcher.stop()
+    channel.unwatch()
     if found is Peek.CLOSED:
         cancellation.cancel()
 
 
 def _deliver(
-    socket: Any, method: str, reply: Reply, keep: bool, speech: Speech
+    channel: Channel, method: str, reply: Reply, keep: bool, speech: Speech
 ) -> bool:
     outcome = reply.outcome
     if isinstance(outcome, Answered):
@@ -236,35 +229,28 @@
     if not keep:
         headers.append((b"connection", b"close"))
     start = b"HTTP/1.1 %d %b" % (status, _REASONS.get(status, b""))
-    socket.settimeout(STALL_SECONDS)
+    channel.limit_stalls(STALL_SECONDS)
     if status in (204, 304):
-        send_all(socket, join_bare_head(start, headers))
+        channel.send(join_bare_head(start, headers))
         return True
     data = join_head(start, headers, body.length)
     if body.whole:
         if method != "HEAD":
             data += body.head
-        send_all(socket, data)
+        channel.send(data)
         return True
-    return _stream(socket, data, body)
+    return _stream(channel, data, body)
 
 
-def _stream(socket: Any, data: bytes, body: Body) -> bool:
+def _stream(channel: Channel, data: bytes, body: Body) -> bool:
     # A cut body ends the connection without the last chunk or the full length,
     # so that no caller can take a truncated answer for a whole one.
-    send_all(socket, data)
+    channel.send(data)
     sent = 0
     for piece in body:
         sent += len(piece)
-        send_all(socket, frame_chunk(piece) if body.length is None else piece)
+        channel.send(frame_chunk(piece) if body.length is None else piece)
     if body.length is None:
-        send_all(socket, LAST_CHUNK)
+        channel.send(LAST_CHUNK)
         return True
     return sent == body.length
-
-
-def _shut(socket: Any) -> None:
-    try:
-        socket.shutdown(gevent.socket.SHUT_RDWR)
-    except OSError:
-        return
--- a/src/fuchsiaspool/http/sockets.py
+++ b/src/fuchsiaspool/http/sockets.py
@@ -1,9 +1,8 @@
-"""Look at a socket without blocking or reading from it."""
+"""Set up sockets, and name what a look at one finds."""
 
 from enum import Enum
 from typing import Any, Final
 
-import gevent.socket
 from gevent.socket import (
     IPPROTO_TCP,
     SO_KEEPALIVE,
@@ -38,25 +37,3 @@
     socket.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_SECONDS)
     socket.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES)
     socket.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, SILENT_MILLISECONDS)
-
-
-def send_all(socket: Any, data: bytes) -> None:
-    """Send every byte; mostly one call does, without asking for the buffer's size."""
-    sent = socket.send(data)
-    if sent < len(data):
-        socket.sendall(memoryview(data)[sent:])
-
-
-def peek(socket: Any) -> Peek:
-    """Tell if bytes wait or the peer has gone; safe inside the event loop."""
-    timeout = socket.gettimeout()
-    socket.settimeout(0.0)
-    try:
-        data = socket.recv(1, gevent.socket.MSG_PEEK)
-    except BlockingIOError:
-        return Peek.QUIET
-    except OSError:
-        return Peek.CLOSED
-    finally:
-        socket.settimeout(timeout)
-    return Peek.DATA if data else Peek.CLOSED
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -1,5 +1,6 @@
 """Run one node on the platform, beside its backend server."""
 
+import dataclasses
 import logging
 import random
 from collections.abc import Callable
@@ -111,6 +112,10 @@
 PEER_IDLE_SECONDS: Final = 60.0
 SERVER_GRACE_SECONDS: Final = 0.05
 _MILLI: Final = 1000
+# Settings that come into force without a new start.
+RELOADED: Final = frozenset(
+    ("grace", "heartbeat", "retry_window", "retry_slack", "link_rate")
+)
 
 
 class NodeState(Enum):
@@ -167,8 +172,7 @@
         self.ratio = RetryRatio(
             clock,
             REPEATS_AT_ONCE,
-            # Every node may add its part: half the slack, shared by a large fleet.
-            options.retry_slack / options.retry_window / 2 / REPEATING_NODES,
+            _share_slack(options),
         )
         self.learned = LearnedThresholds(clock, LEVEL_RISE_PER_SECOND)
         self.contexts = Contexts(options.place.node)
@@ -383,9 +387,22 @@
         self.stopped.set()
 
     def reload(self, options: PlatformOptions) -> None:
-        """Take changed settings; what places the node holds until its next start."""
-        changed = options != self.options
-        _LOG.info("settings reloaded", extra={"changed": changed})
+        """Take changed settings; addresses and the place hold until the next start."""
+        changed = {
+            field.name
+            for field in dataclasses.fields(options)
+            if getattr(options, field.name) != getattr(self.options, field.name)
+        }
+        taken = changed & RELOADED
+        self.options = dataclasses.replace(
+            self.options, **{name: getattr(options, name) for name in taken}
+        )
+        self.ratio.configure(_share_slack(self.options))
+        self.link.rate = self.link.depth = self.options.link_rate
+        _LOG.info(
+            "settings reloaded",
+            extra={"taken": sorted(taken), "at_next_start": sorted(changed - taken)},
+        )
 
     # What runs beside the calls.
 
@@ -505,3 +522,9 @@
             for reason, count in sorted(counts.unknown.items()):
                 lines.append(f'unknown{{class="{name}",reason="{reason}"}} {count}')
         return "\n".join(lines) + "\n"
+
+
+def _share_slack(options: PlatformOptions) -> float:
+    """Return the repeats a second that one node may add to its share."""
+    # Every node may add its part: half the slack, shared by a large fleet.
+    return options.retry_slack / options.retry_window / 2 / REPEATING_NODES
--- a/tests/support.py
+++ b/tests/support.py
@@ -136,8 +136,8 @@
 
 # Below the ports that the kernel gives to outgoing connections.
 FIRST_PORT = 10_000
-PORTS_PER_RUN = 600
-RUNS_AT_ONCE = 16
+PORTS_PER_RUN = 1_200
+RUNS_AT_ONCE = 8
 
 
 def _claim_ports():
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -270,7 +270,7 @@
         socket.sendall(get())
         socket.recv(65536)
         nodelay = [
-            connection.socket.getsockopt(gevent.socket.IPPROTO_TCP, option)
+            connection.channel.socket.getsockopt(gevent.socket.IPPROTO_TCP, option)
             for idle in node.parts.pool._idle.values()
             for connection in idle
         ]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,8 +7,10 @@
 from fuchsiaspool.controllers.registry import (
     LEASE_SECONDS,
     PREFIX,
+    RENEW_SECONDS,
     TRUST_SECONDS,
     Registry,
+    make_key,
 )
 from fuchsiaspool.controllers.settings import SettingsKeeper
 from fuchsiaspool.ids import Incarnation, Nonce, Revision, TeamName
@@ -334,6 +336,33 @@
         self.clock.run(first.withdraw)
         self.assertEqual(self.fake.store.list_prefix(PREFIX).items, [])
 
+    def test_an_abandoned_announcement_is_removed_by_one_who_saw_it_age(self):
+        gone, _ = self.make("gone", "south-1")
+        self.announce(gone)
+        near, table = self.make("near")
+        self.announce(near)
+        table.merge(make_member("near"))
+        for _ in range(int(2 * TRUST_SECONDS / RENEW_SECONDS)):
+            self.clock.run(near.read_members)
+            self.announce(near)
+            self.clock.advance(RENEW_SECONDS)
+        kept = [stored.key for stored in self.fake.store.list_prefix(PREFIX).items]
+        self.assertEqual(kept, [make_key(make_member("near"))])
+
+    def test_an_outage_makes_no_announcement_look_abandoned(self):
+        far, _ = self.make("far", "south-1")
+        self.announce(far)
+        near, table = self.make("near")
+        table.merge(make_member("near"))
+        self.clock.run(near.read_members)
+        working = near._platform
+        near._platform = self.fake.connect(lambda: Fault.DOWN)
+        self.clock.advance(2 * TRUST_SECONDS)
+        self.clock.run(near.read_members)
+        near._platform = working
+        self.clock.run(near.read_members)
+        self.assertEqual(len(self.fake.store.list_prefix(PREFIX).items), 1)
+
     def test_a_lapsed_lease_buries_only_after_the_platform_was_there_long(self):
         far, _ = self.make("far", "south-1")
         self.announce(far)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -1,5 +1,6 @@
 """Nodes on the platform, over real sockets, against the stand-ins."""
 
+import dataclasses
 import json
 import struct
 import unittest
@@ -425,6 +426,31 @@
         self.await_that(lambda: late.state is NodeState.READY)
         self.assertEqual(late.table.version, "0000000c")
 
+    def test_changed_settings_are_taken_without_cutting_a_request(self):
+        started, go_on = gevent.event.Event(), gevent.event.Event()
+
+        def script(request):
+            started.set()
+            go_on.wait()
+            return request.answer()
+
+        self.start_pair(script)
+        asked = gevent.spawn(self.ask)
+        started.wait()
+        changed = dataclasses.replace(
+            self.edge.options, grace=0.5, retry_slack=20.0, outbound=take_address()
+        )
+        kept = self.edge.options.outbound
+        self.edge.reload(changed)
+        go_on.set()
+        self.assertEqual(asked.get().status, 200)
+        self.assertEqual(self.edge.options.grace, 0.5)
+        self.assertEqual(self.edge.options.outbound, kept)
+        self.assertEqual(self.ask().status, 200)
+        began = self.edge.clock.now()
+        self.edge.stop()
+        self.assertLess(self.edge.clock.now() - began, 1.0)
+
     def test_metrics_tell_how_calls_ended(self):
         self.start_pair()
         self.ask()
