--- a/src/fuchsiaspool/controllers/placement.py
+++ b/src/fuchsiaspool/controllers/placement.py
@@ -29,7 +29,7 @@
 FAR_SECONDS: Final = 0.06
 # What a crossing between regions costs besides its time: the link is narrow and
 # paid by volume. In seconds of waiting that it is worth.
-CROSSING_SECONDS: Final = 0.08
+CROSSING_SECONDS: Final = 0.02
 # The same for bytes between data centres of a region, which some sites pay dearly.
 CENTRE_SECONDS: Final = 0.03
 # Costs this close are taken for equal, in seconds and as a share of the least.
@@ -38,9 +38,10 @@
 # How much of the time of work counts: the rest is spent wherever a call goes, and a
 # call that makes calls takes long for reasons that are not its server's.
 WORK_SHARE: Final = 0.15
-# How much of it a nearly full server adds, before there is a queue; below nine tenths
-# of its room a server is hardly slower than an idle one.
-FULL_SHARE: Final = 1.0
+# What a full server adds before there is a queue, in seconds of waiting that it is
+# worth to go elsewhere: with it, distant room is used before calls are turned away.
+FULL_SECONDS: Final = 0.06
+# Below nine tenths of its room a server is hardly slower than an idle one.
 FULL_POWER: Final = 8
 # A failed call costs its caller about this long.
 FAILURE_SECONDS: Final = 1.0
@@ -98,7 +99,8 @@
     use = min(1.0, busy / load.room)
     queued = max(0.0, busy + 1.0 - load.room)
     # A queue of calls moves one on whenever one of `room` slots comes free.
-    return load.seconds * (WORK_SHARE + FULL_SHARE * use**FULL_POWER + queued / load.room)
+    waiting = load.seconds * (WORK_SHARE + queued / load.room)
+    return waiting + FULL_SECONDS * use**FULL_POWER
 
 
 class Placement:
--- a/src/fuchsiaspool/gateway.py
+++ b/src/fuchsiaspool/gateway.py
@@ -39,11 +39,13 @@
     own: ServiceName,
     outbound: Next,
     contexts: Contexts,
+    learn_beneath: Callable[[Call, Outcome], None],
     track: Track,
 ) -> Handle:
     """Return the handler for requests that begin on this instance.
 
-    Calls that the own server makes are taken for part of the request it serves.
+    Calls that the own server makes are taken for part of the request it serves;
+    `learn_beneath` hears how they end, with the call they were made for.
     """
 
     def handle(request: Request) -> Reply:
@@ -66,6 +68,7 @@
         outcome = _guard(call, outbound, finish)
         forget()
         context.threshold = min(context.threshold, outcome.threshold)
+        learn_beneath(context.call, outcome)
         return Reply(outcome, [], finish)
 
     return handle
--- a/src/fuchsiaspool/mesh.py
+++ b/src/fuchsiaspool/mesh.py
@@ -11,7 +11,7 @@
 from .clock import Clock
 from .http.client import Send
 from .http.messages import find_header, keep_end_to_end
-from .ids import CallerId, OperationKey, RequestId, ServiceName
+from .ids import CallerId, OperationKey, OperationName, RequestId, ServiceName
 from .member_records import Member
 from .node_load import NodeLoad
 from .outcomes import (
@@ -47,6 +47,7 @@
     expires_wall: float | None = None
     aim_ms: float = 0.0
     nested: bool = False
+    operation: OperationName = OperationName("")
 
 
 class MeshOutcome(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
@@ -83,6 +84,7 @@
             call.expires_wall,
             max(0.0, (call.aim - now) * _MILLI),
             call.nested,
+            call.operation,
         )
     )
 
@@ -218,6 +220,7 @@
     base.expires_wall = context.expires_wall
     base.aim = now + context.aim_ms / _MILLI
     base.nested = context.nested
+    base.operation = context.operation
     return base
 
 
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -1,6 +1,7 @@
 """Run one node on the platform, beside its backend server."""
 
 import dataclasses
+import functools
 import logging
 import random
 from collections.abc import Callable
@@ -41,6 +42,7 @@
 )
 from .filters.lookup import make_lookup
 from .filters.placing import make_placing
+from .filters.relaying import learn_beneath, make_relaying
 from .filters.returning import make_returning
 from .filters.shedding import make_shedding
 from .gateway import (
@@ -175,6 +177,7 @@
             _share_slack(options),
         )
         self.learned = LearnedThresholds(clock, LEVEL_RISE_PER_SECOND)
+        self.beneath = LearnedThresholds(clock, LEVEL_RISE_PER_SECOND)
         self.contexts = Contexts(options.place.node)
         self.pool = Pool()
         to_server = ExchangeRules(
@@ -189,6 +192,7 @@
         self._inbound = compose(
             [
                 make_inbound_explaining(clock, view),
+                make_relaying(self.beneath),
                 make_deadline(clock),
                 make_admission(clock, self.admission, self._find_refusal),
             ],
@@ -243,7 +247,13 @@
         self._outbound_server = HttpServer(
             options.outbound,
             make_outbound_entrance(
-                clock, interface, own, self._outbound, self.contexts, self._track
+                clock,
+                interface,
+                own,
+                self._outbound,
+                self.contexts,
+                functools.partial(learn_beneath, self.beneath),
+                self._track,
             ),
             speech=to_callers,
         )
