--- a/src/fuchsiaspool/controllers/placement.py
+++ b/src/fuchsiaspool/controllers/placement.py
@@ -69,9 +69,14 @@
 
 @dataclass(slots=True)
 class _Track:
-    """Hold what this node knows of one other; times in monotonic seconds."""
+    """Hold what this node knows of one other; times in monotonic seconds.
+
+    `surcharge` is the seconds of waiting that the bytes on the way are worth.
+    """
 
     way: float
+    surcharge: float = 0.0
+    crossing: bool = False
     in_flight: int = 0
     load: NodeLoad = _UNLOADED
     reported_at: float = float("-inf")
@@ -137,7 +142,7 @@
     def choose(self, call: Call, excluded: Set[NodeId]) -> Member | NotRunReason:
         """Return the node for the next attempt, or why there is none."""
         now = self._clock.now()
-        least = float("inf")
+        bound = least = float("inf")
         costs: list[tuple[float, Member]] = []
         resting: list[Member] = []
         reason = NotRunReason.NO_SERVER
@@ -148,31 +153,26 @@
             if track.ejected_until > now:
                 resting.append(member)
                 continue
-            if self._is_crossing(member) and self._link.tokens <= 0:
+            # Nearest come first: of most others the way alone costs more.
+            if track.way + track.surcharge > bound:
+                continue
+            if track.crossing and self._link.tokens <= 0:
                 reason = NotRunReason.LINK_BUDGET
                 continue
             cost = self._find_cost(member, track, now)
             costs.append((cost, member))
-            least = min(least, cost)
+            if cost < least:
+                least = cost
+                bound = least + max(CLOSE_SECONDS, least * CLOSE_SHARE)
         if not costs:
             # Better one that failed lately than none.
             return self._chance.choice(resting) if resting else reason
-        bound = least + max(CLOSE_SECONDS, least * CLOSE_SHARE)
         close = [member for cost, member in costs if cost <= bound]
         if len(close) == 1:
             return close[0]
         weights = [max(1.0, self._find_load(m).room) for m in close]
         return self._chance.choices(close, weights)[0]
 
-    def find_delay(self, service: ServiceName) -> float:
-        """Return the least delay to expect at a service now, in seconds."""
-        now = self._clock.now()
-        costs = [
-            self._find_cost(member, self._track(member), now)
-            for member in self._find_subset(service)
-        ]
-        return min(costs, default=0.0)
-
     def begin(self, member: Member) -> None:
         """Count an attempt as in flight."""
         self._track(member).in_flight += 1
@@ -181,7 +181,7 @@
         """Learn from how an attempt ended."""
         track = self._track(member)
         track.in_flight -= 1
-        if self._is_crossing(member):
+        if track.crossing:
             self._link.charge(_measure(outcome))
         now = self._clock.now()
         if isinstance(outcome, NotRun) and outcome.reason in _ABSENT:
@@ -231,11 +231,7 @@
             cost = track.way + estimate_delay(
                 track.load, track.find_busy(now), track.find_trust(now)
             )
-        if self._is_crossing(member):
-            cost += CROSSING_SECONDS
-        elif member.data_centre != self._place.data_centre:
-            cost += CENTRE_SECONDS
-        return cost + track.find_failing(now) * FAILURE_SECONDS
+        return cost + track.surcharge + track.find_failing(now) * FAILURE_SECONDS
 
     def _find_load(self, member: Member) -> NodeLoad:
         if member.node == self._place.node:
@@ -245,15 +241,17 @@
     def _track(self, member: Member) -> _Track:
         track = self._tracks.get(member.node)
         if track is None:
-            track = self._tracks[member.node] = _Track(self._guess_way(member))
+            track = self._tracks[member.node] = self._make_track(member)
         return track
 
-    def _guess_way(self, member: Member) -> float:
+    def _make_track(self, member: Member) -> _Track:
         if member.node == self._place.node:
-            return 0.0
-        if member.data_centre == self._place.data_centre:
-            return NEAR_SECONDS
-        return FAR_SECONDS if self._is_crossing(member) else REGION_SECONDS
+            return _Track(0.0)
+        if self._is_crossing(member):
+            return _Track(FAR_SECONDS, CROSSING_SECONDS, crossing=True)
+        if member.data_centre != self._place.data_centre:
+            return _Track(REGION_SECONDS, CENTRE_SECONDS)
+        return _Track(NEAR_SECONDS)
 
     def _is_crossing(self, member: Member) -> bool:
         return member.region != self._place.region
--- a/src/fuchsiaspool/http/channels.py
+++ b/src/fuchsiaspool/http/channels.py
@@ -6,6 +6,7 @@
 
 import gevent
 import gevent.socket
+from gevent.hub import Waiter
 
 from .sockets import Peek, tune_socket
 
@@ -18,21 +19,26 @@
     """Wrap a connected socket that only one task at a time waits on.
 
     A read waits for bytes before it tries, unless the last one left some behind. One
-    timer serves every limit on the connection's waits; it is set anew only when it
-    fires, so that a limit that is not reached costs a comparison.
+    watcher stays with the connection, since stopping and starting one for each read
+    would be announced to the kernel anew. One timer serves every limit on the
+    connection's waits; it is set anew only when it fires, so that a limit that is not
+    reached costs a comparison.
     """
 
     __slots__ = (
+        "_action",
         "_check_at",
         "_drained",
         "_expired",
+        "_listening",
         "_readable",
-        "socket",
         "_stall",
         "_timer",
         "_until",
-        "_waiting",
+        "_waiter",
         "_writable",
+        "_writing",
+        "socket",
     )
 
     def __init__(self, socket: Any) -> None:
@@ -40,8 +46,11 @@
         socket.settimeout(0.0)
         self.socket = socket
         self._readable = gevent.get_hub().loop.io(socket.fileno(), _READ_EVENT)
+        self._listening = False
+        self._waiter: Any = None
+        self._action: Callable[[Peek], None] | None = None
         self._writable: Any = None
-        self._waiting: Any = None
+        self._writing = False
         self._timer: Any = None
         self._drained = True
         self._expired = False
@@ -62,12 +71,12 @@
     def recv(self, size: int) -> bytes:
         """Return the next bytes, none at the end; raise `OSError`."""
         if self._drained:
-            self._wait(self._readable)
+            self._wait_readable()
         while True:
             try:
                 data: bytes = self.socket.recv(size)
             except BlockingIOError:
-                self._wait(self._readable)
+                self._wait_readable()
                 continue
             self._drained = len(data) < size
             return data
@@ -82,7 +91,7 @@
                 sent = 0
             rest = rest[sent:]
             if rest:
-                self._wait(self._find_writable())
+                self._wait_writable()
 
     def peek(self) -> Peek:
         """Tell if bytes wait or the peer has gone, without reading."""
@@ -94,13 +103,14 @@
             return Peek.CLOSED
         return Peek.DATA if data else Peek.CLOSED
 
-    def watch(self, action: Callable[[], None]) -> None:
-        """Run an action whenever bytes or the end come while nobody reads."""
-        self._readable.start(action)
+    def watch(self, action: Callable[[Peek], None]) -> None:
+        """Run an action once, when bytes or the end come while nobody reads."""
+        self._action = action
+        self._listen()
 
     def unwatch(self) -> None:
         """Stop watching."""
-        self._readable.stop()
+        self._action = None
 
     def abort(self) -> None:
         """Cut the connection, so that whoever waits on it wakes."""
@@ -124,22 +134,50 @@
         if self._until < self._check_at:
             self._arm(seconds)
 
-    def _wait(self, watcher: Any) -> None:
+    def _check_limit(self) -> None:
         if self._stall != _NEVER:
             self._set_limit(self._stall)
         if self._expired:
             raise TimeoutError("waited too long")
-        self._waiting = watcher
+
+    def _listen(self) -> None:
+        if not self._listening:
+            self._listening = True
+            self._readable.start(self._note_readable)
+
+    def _note_readable(self) -> None:
+        if self._waiter is not None:
+            self._waiter.switch(None)
+            return
+        found = self.peek()
+        if found is Peek.QUIET:
+            return
+        # Nobody reads now: the event would come again and again.
+        self._readable.stop()
+        self._listening = False
+        if self._action is not None:
+            action, self._action = self._action, None
+            action(found)
+
+    def _wait_readable(self) -> None:
+        self._check_limit()
+        self._listen()
+        self._waiter = Waiter()
         try:
-            gevent.socket.wait(watcher)
+            self._waiter.get()
         finally:
-            self._waiting = None
+            self._waiter = None
 
-    def _find_writable(self) -> Any:
+    def _wait_writable(self) -> None:
+        self._check_limit()
         if self._writable is None:
             loop = gevent.get_hub().loop
             self._writable = loop.io(self.socket.fileno(), _WRITE_EVENT)
-        return self._writable
+        self._writing = True
+        try:
+            gevent.socket.wait(self._writable)
+        finally:
+            self._writing = False
 
     def _arm(self, seconds: float) -> None:
         if self._timer is not None:
@@ -158,6 +196,8 @@
             self._arm(left)
             return
         self._expired = True
-        if self._waiting is not None:
-            error = TimeoutError("waited too long")
-            gevent.socket.cancel_wait(self._waiting, error)
+        error = TimeoutError("waited too long")
+        if self._waiter is not None:
+            self._waiter.throw(error)
+        elif self._writing:
+            gevent.socket.cancel_wait(self._writable, error)
--- a/src/fuchsiaspool/http/server.py
+++ b/src/fuchsiaspool/http/server.py
@@ -180,7 +180,7 @@
         self, channel: Channel, reader: MessageReader, request: Request
     ) -> bool:
         if request.body.whole and not reader.pending:
-            channel.watch(lambda: _note_caller(channel, request.cancellation))
+            channel.watch(_make_notice(request.cancellation))
         reply = None
         whole = False
         try:
@@ -201,13 +201,12 @@
         _deliver(channel, "GET", reply, False, self._speech)
 
 
-def _note_caller(channel: Channel, cancellation: Cancellation) -> None:
-    found = channel.peek()
-    if found is Peek.QUIET:
-        return
-    channel.unwatch()
-    if found is Peek.CLOSED:
-        cancellation.cancel()
+def _make_notice(cancellation: Cancellation) -> Callable[[Peek], None]:
+    def notice(found: Peek) -> None:
+        if found is Peek.CLOSED:
+            cancellation.cancel()
+
+    return notice
 
 
 def _deliver(
