--- a/tests/test_load_decisions.py
+++ b/tests/test_load_decisions.py
@@ -6,6 +6,7 @@
 from hypothesis import given, strategies as st
 
 from fuchsiaspool.bodies import Body
+from fuchsiaspool.calls import compose
 from fuchsiaspool.clock import PausedClock
 from fuchsiaspool.controllers.buckets import TokenBucket
 from fuchsiaspool.controllers.level import AdmissionLevel
@@ -13,10 +14,21 @@
 from fuchsiaspool.controllers.placement import Placement, estimate_delay
 from fuchsiaspool.controllers.returns import Returns
 from fuchsiaspool.controllers.rotation import Rotation
+from fuchsiaspool.controllers.threshold import LearnedThresholds
+from fuchsiaspool.filters.relaying import learn_beneath, make_relaying
+from fuchsiaspool.filters.shedding import make_shedding
 from fuchsiaspool.ids import NodeId, RouteName, ServiceName
 from fuchsiaspool.node_load import NodeLoad
-from fuchsiaspool.outcomes import NO_THRESHOLD, Answered, NotRun, NotRunReason
+from fuchsiaspool.outcomes import (
+    NO_THRESHOLD,
+    Answered,
+    NotRun,
+    NotRunReason,
+    Unknown,
+    UnknownReason,
+)
 from fuchsiaspool.routes import Route, RouteKind, WeightedService
+from fuchsiaspool.sidecar import LEVEL_RISE_PER_SECOND
 
 from .deep_chain import DeepChain
 from .support import make_call, make_member, make_place
@@ -48,6 +60,52 @@
             self.assertGreaterEqual(chain.tally.share(name), 0.99, name)
 
 
+class RelayedLevelTests(unittest.TestCase):
+    """A deep service saturates, and every call above it ends at its deadline."""
+
+    HOPS = 3
+    CALLS = 40
+
+    def make_hop(self, following):
+        """Return a node whose server calls the next one and then runs out of time."""
+        beneath = LearnedThresholds(self.clock, LEVEL_RISE_PER_SECOND)
+
+        def serve(call):
+            learn_beneath(beneath, call, following(make_call(self.clock)))
+            return Unknown(UnknownReason.TIMEOUT)
+
+        return compose([make_relaying(beneath)], serve)
+
+    def test_the_entrance_learns_the_level_of_the_deepest_service(self):
+        self.clock = PausedClock()
+
+        def step(call):
+            return NotRun(NotRunReason.QUEUE_FULL, threshold=2.0)
+
+        for _ in range(self.HOPS):
+            step = self.make_hop(step)
+        learned = LearnedThresholds(self.clock, LEVEL_RISE_PER_SECOND)
+        entrance = compose([make_shedding(learned, learns_from_all=False)], step)
+        for _ in range(self.CALLS):
+            outcome = entrance(make_call(self.clock, rank=2.9))
+            self.clock.advance(0.02)
+        self.assertIsInstance(outcome, NotRun)
+        self.assertIs(outcome.reason, NotRunReason.SHED)
+
+    def test_a_level_that_is_over_is_forgotten(self):
+        self.clock = PausedClock()
+        beneath = LearnedThresholds(self.clock, LEVEL_RISE_PER_SECOND)
+        parent = make_call(self.clock)
+        learn_beneath(beneath, parent, NotRun(NotRunReason.QUEUE_FULL, threshold=2.0))
+        relay = make_relaying(beneath)
+        self.assertLess(relay(parent, self.answer).threshold, NO_THRESHOLD)
+        self.clock.advance(NO_THRESHOLD / LEVEL_RISE_PER_SECOND)
+        self.assertEqual(relay(parent, self.answer).threshold, NO_THRESHOLD)
+
+    def answer(self, call):
+        return Answered(200, [], Body())
+
+
 class AdmissionLevelTests(unittest.TestCase):
     def setUp(self):
         self.clock = PausedClock()
