Leave nine tenths of a second to exit, and unwind nothing

The wait for calls ended 0.4 s before it, and unwinding the interpreter and the peers' library came after. Change: 0.9 s, inside the span in which a server's unfinished work is not held against a stop; logs are written, then the process ends at once.

--- a/src/fuchsiaspool/commands/sidecar.py
+++ b/src/fuchsiaspool/commands/sidecar.py
@@ -13,6 +13,7 @@
 import signal
 import sys
 from pathlib import Path
+from typing import NoReturn
 
 import gevent
 
@@ -41,8 +42,7 @@
     if parsed.check:
         print(f"{path}: ok")
         return 0
-    _run(path, options, parsed.log_level)
-    return 0
+    return _run(path, options, parsed.log_level)
 
 
 def _make_parser() -> argparse.ArgumentParser:
@@ -74,7 +74,7 @@
     return str(options.error) if isinstance(options, Err) else options.value
 
 
-def _run(path: Path, options: PlatformOptions, level: str) -> None:
+def _run(path: Path, options: PlatformOptions, level: str) -> NoReturn:
     handler = configure_queued_logs(level, sys.stdout.fileno(), options.place.node)
     gevent.spawn(handler.run)
     node = Sidecar(options)
@@ -102,7 +102,10 @@
     gevent.spawn(look)
     tune_collector()
     node.stopped.wait()
-    handler.write_some()
+    handler.write_rest()
+    # The grace may be all but over: unwinding the interpreter and the peers' library
+    # takes time, and leaves nothing that the system does not close at once.
+    os._exit(0)
 
 
 if __name__ == "__main__":
--- a/src/fuchsiaspool/logs.py
+++ b/src/fuchsiaspool/logs.py
@@ -85,6 +85,11 @@
                 if not self.write_some():
                     gevent.sleep(FULL_PIPE_SECONDS)
 
+    def write_rest(self) -> None:
+        """Write what is queued until it is out or its reader takes no more."""
+        while self._lines and self.write_some():
+            continue
+
     def write_some(self) -> bool:
         """Write a batch of lines; tell if the reader took any."""
         lines = [
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -107,8 +107,9 @@
 NOTICE_SECONDS: Final = 2.3
 # Requests sent later than this after the signal to stop need not be taken.
 CLOSING_SECONDS: Final = 2.8
-# What is left of the grace for closing connections and exiting.
-EXIT_SECONDS: Final = 0.4
+# What is left of the grace for closing connections and exiting: calls that a server
+# still works on in its last sixth are not held against a stop.
+EXIT_SECONDS: Final = 0.9
 # A peer's answer is awaited this much longer than the deadline that it keeps.
 PEER_GRACE_SECONDS: Final = 0.1
 PEER_IDLE_SECONDS: Final = 60.0
