Serve latencies by class with the metrics, and do less for each call

Change: three percentiles a class; a test that failed first. Change: equal values are counted at once and no caller is recorded where it is always the own service; one pass; no wait is worked out while a slot is free.

--- a/src/fuchsiaspool/controllers/admission.py
+++ b/src/fuchsiaspool/controllers/admission.py
@@ -92,8 +92,11 @@
         """Wait for a slot; return a refusal where there is none in time."""
         if not self._learns_room:
             # Order decides here; the level tells entrances what not to send.
-            queue = self._measure_wait(len(self._queue))
-            self.level.observe(call.rank, self._expect_wait(call), queue)
+            if self.free:
+                self.level.observe(call.rank, 0.0, 0.0)
+            else:
+                queue = self._measure_wait(len(self._queue))
+                self.level.observe(call.rank, self._expect_wait(call), queue)
         else:
             self.shedding.offer(call.rank)
             if not call.critical and call.rank > self.threshold:
--- a/src/fuchsiaspool/controllers/histograms.py
+++ b/src/fuchsiaspool/controllers/histograms.py
@@ -1,5 +1,6 @@
 """Record latency and queue delay in histograms for each class and caller."""
 
+from collections import Counter
 from enum import Enum
 from typing import Final
 
@@ -8,6 +9,8 @@
 LOWEST_MICROSECONDS: Final = 1
 HIGHEST_MICROSECONDS: Final = 600_000_000
 SIGNIFICANT_DIGITS: Final = 2
+# What the library keeps of a value for so many digits.
+SIGNIFICANT_BITS: Final = 8
 CALLER_LIMIT: Final = 40
 PENDING_LIMIT: Final = 10_000
 POOLED: Final = "others"
@@ -33,7 +36,7 @@
     def record(
         self, measure: Measure, class_name: str, caller: str, seconds: float
     ) -> None:
-        """Note one duration for its class and its caller."""
+        """Note one duration for its class and its caller, if that is named."""
         # Counted later, so that no call waits for it.
         self._pending.append((measure, class_name, caller, seconds))
         if len(self._pending) >= PENDING_LIMIT:
@@ -42,10 +45,24 @@
     def flush(self) -> None:
         """Count what was noted."""
         pending, self._pending = self._pending, []
+        counts: Counter[tuple[Measure, str, str, int]] = Counter()
         for measure, class_name, caller, seconds in pending:
-            value = max(LOWEST_MICROSECONDS, int(seconds * _MICRO))
-            self._find(measure, "class", class_name).record_value(value)
-            self._find(measure, "caller", self._pool(caller)).record_value(value)
+            value = _round_down(max(LOWEST_MICROSECONDS, int(seconds * _MICRO)))
+            counts[(measure, "class", class_name, value)] += 1
+            if caller:
+                counts[(measure, "caller", self._pool(caller), value)] += 1
+        # Counting is slow in the library: equal values are counted at once.
+        for (measure, kind, name, value), count in counts.items():
+            self._find(measure, kind, name).record_value(value, count)
+
+    def summarize(self, measure: Measure, percentile: float) -> dict[str, float]:
+        """Return seconds at a percentile by class."""
+        self.flush()
+        return {
+            name: found.get_value_at_percentile(percentile) / _MICRO
+            for (kept, kind, name), found in self._histograms.items()
+            if kept is measure and kind == "class"
+        }
 
     def export(self) -> dict[tuple[Measure, str, str], bytes]:
         """Return every histogram in the library's own mergeable encoding."""
@@ -69,6 +86,12 @@
         return found
 
 
+def _round_down(value: int) -> int:
+    # To the first of the values that share a bucket of the histogram.
+    shift = max(0, value.bit_length() - SIGNIFICANT_BITS)
+    return value >> shift << shift
+
+
 def make_histogram() -> HdrHistogram:
     """Make a histogram of microseconds."""
     return HdrHistogram(LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS)
--- a/src/fuchsiaspool/filters/explaining.py
+++ b/src/fuchsiaspool/filters/explaining.py
@@ -44,13 +44,13 @@
         went_well = isinstance(outcome, Answered) and outcome.status < SERVER_ERROR
         match outcome:
             case Answered():
-                histograms.record(Measure.LATENCY, name, call.caller, seconds)
+                histograms.record(Measure.LATENCY, name, "", seconds)
                 if went_well:
                     counts.answered += 1
                 else:
                     counts.failed += 1
             case NotRun():
-                histograms.record(Measure.REFUSAL, name, call.caller, seconds)
+                histograms.record(Measure.REFUSAL, name, "", seconds)
                 counts.not_run[outcome.reason.value] += 1
             case Unknown():
                 counts.unknown[outcome.reason.value] += 1
--- a/src/fuchsiaspool/http/messages.py
+++ b/src/fuchsiaspool/http/messages.py
@@ -216,16 +216,30 @@
     )
 )
 
+# Values of the connection header that name no other header.
+_PLAIN_CONNECTIONS: Final = frozenset((b"close", b"keep-alive"))
+
 INTERNAL_PREFIX: Final = b"fuchsiaspool-"
 
 
-def drop_hop_headers(headers: Headers) -> Headers:
-    """Drop the headers that concern one connection, also those it names itself."""
-    named = _HOP_HEADERS
-    for name, value in headers:
-        if name == b"connection" and value.lower() not in (b"close", b"keep-alive"):
-            named = named | {part.strip() for part in value.lower().split(b",")}
-    return [pair for pair in headers if pair[0] not in named]
+def drop_hop_headers(
+    headers: Headers, besides: frozenset[bytes] = frozenset()
+) -> Headers:
+    """Drop the headers that concern one connection, also those it names itself.
+
+    Those named in `besides` are dropped too.
+    """
+    kept: Headers = []
+    for pair in headers:
+        name, value = pair
+        if name not in _HOP_HEADERS:
+            if name not in besides:
+                kept.append(pair)
+        elif name == b"connection" and value.lower() not in _PLAIN_CONNECTIONS:
+            own = {part.strip() for part in value.lower().split(b",")}
+            rest = [other for other in headers if other is not pair]
+            return drop_hop_headers(rest, besides | own)
+    return kept
 
 
 def keep_end_to_end(headers: Headers) -> Headers:
@@ -247,13 +261,13 @@
 
 def join_bare_head(start: bytes, headers: Headers) -> bytes:
     """Build the bytes of a head that no body follows."""
-    lines = [start, *(name + b": " + value for name, value in headers), b"\r\n"]
-    return b"\r\n".join(lines)
+    lines = [b"%b: %b" % pair for pair in headers]
+    return b"\r\n".join((start, *lines, b"\r\n"))
 
 
 def join_head(start: bytes, headers: Headers, length: int | None) -> bytes:
     """Build the bytes of a head; no `length` means chunks follow."""
-    lines = [start, *(name + b": " + value for name, value in headers)]
+    lines = [start, *[b"%b: %b" % pair for pair in headers]]
     if length is None:
         lines.append(b"transfer-encoding: chunked")
     else:
--- a/src/fuchsiaspool/platform/speech.py
+++ b/src/fuchsiaspool/platform/speech.py
@@ -25,13 +25,15 @@
     (CONTEXT_HEADER, DEADLINE_HEADER, EXPECTED_HEADER, CALLING_SERVICE_HEADER)
 )
 
+_KEPT_BETWEEN_NODES: Final = frozenset((OUTCOME_HEADER,))
+
 
 def _keep_request(headers: Headers) -> Headers:
-    return [pair for pair in drop_hop_headers(headers) if pair[0] not in _SET_BY_NODES]
+    return drop_hop_headers(headers, _SET_BY_NODES)
 
 
 def _keep_answer(headers: Headers) -> Headers:
-    return [pair for pair in drop_hop_headers(headers) if pair[0] != OUTCOME_HEADER]
+    return drop_hop_headers(headers, _KEPT_BETWEEN_NODES)
 
 
 def _format_retry_after(outcome: NotRun) -> bytes:
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -508,7 +508,9 @@
 
     def format_metrics(self) -> str:
         """Return counters and latencies as text, one figure a line."""
-        return format_metrics(self.admission, self.keeper.revision, self.counters)
+        return format_metrics(
+            self.admission, self.keeper.revision, self.counters, self.histograms
+        )
 
 
 def _share_slack(options: PlatformOptions) -> float:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import re
 import struct
 import unittest
 from socket import SO_LINGER, SOL_SOCKET
@@ -451,6 +452,17 @@
         self.edge.stop()
         self.assertLess(self.edge.clock.now() - began, 1.0)
 
+    def test_metrics_show_latencies_by_class(self):
+        self.start_pair()
+        for _ in range(3):
+            self.assertEqual(self.ask().status, 200)
+        url = f"http://{self.edge.options.metrics}/metrics"
+        text = self.http.request("GET", url).data.decode()
+        found = re.search(
+            r'^latency_seconds\{class="read",percentile="99"\} ([0-9.]+)$', text, re.M
+        )
+        self.assertTrue(0 < float(found[1]) < 1, text)
+
     def test_metrics_tell_how_calls_ended(self):
         self.start_pair()
         self.ask()
