--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -109,7 +109,7 @@
 CLOSING_SECONDS: Final = 2.8
 # What is left of the grace for closing connections and exiting: calls that a server
 # still works on in its last sixth are not held against a stop.
-EXIT_SECONDS: Final = 0.9
+EXIT_SHARE: Final = 0.15
 # A peer's answer is awaited this much longer than the deadline that it keeps.
 PEER_GRACE_SECONDS: Final = 0.1
 PEER_IDLE_SECONDS: Final = 60.0
@@ -355,7 +355,7 @@
         self.state = NodeState.LEAVING
         _LOG.info("leaving", extra={"in_flight": len(self._active)})
         started = self.clock.now()
-        last = started + self.options.grace - EXIT_SECONDS
+        last = started + self.options.grace * (1 - EXIT_SHARE)
         self.membership.leave()
         gevent.spawn(self.registry.withdraw)
         self._inbound_server.wind_down()
