--- a/tests/test_failure_points.py
+++ b/tests/test_failure_points.py
@@ -2,6 +2,7 @@
 
 import gevent
 
+from fuchsiaspool.addresses import Address
 from fuchsiaspool.bodies import Body, BodyError
 from fuchsiaspool.clock import SystemClock
 from fuchsiaspool.controllers.contexts import Contexts
@@ -77,6 +78,23 @@
         self.assertIsInstance(outcome, NotRun)
         self.assertEqual(outcome.reason, NotRunReason.CONNECT_FAILED)
 
+    def test_a_peer_that_does_not_answer_leaves_time_for_another(self):
+        listener = gevent.socket.socket()
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        self.addCleanup(listener.close)
+        for _ in range(4):
+            # With its queue full, the listener drops what opens a connection.
+            filler = gevent.socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+            self.addCleanup(filler.close)
+        gevent.sleep(0.05)
+        began = self.clock.now()
+        outcome, call = self.dispatch(Address(*listener.getsockname()), seconds=1.0)
+        self.assertEqual(outcome.reason, NotRunReason.CONNECT_FAILED)
+        self.assertLess(self.clock.now() - began, 0.6)
+
     def test_timeout_after_hand_over_is_unknown(self):
         server = self.start(b"", hold=1.0)
         outcome, _ = self.dispatch(server.address, seconds=0.05)
