Accept what the kernel has taken before a stopping node closes its listener

Connections that the kernel had completed but the node not yet accepted are reset with the listener, whatever they have sent; under load some always wait. Ruled out: a slow test (the reset comes from the close). Change: they are accepted before the listener is closed. A test that failed first, without load.

--- a/src/fuchsiaspool/http/server.py
+++ b/src/fuchsiaspool/http/server.py
@@ -103,6 +103,7 @@
         """Refuse new connections and close idle ones; requests go on."""
         self.stopping = True
         self._server.stop_accepting()
+        self._accept_waiting()
         self._server.close()
         for channel in list(self._idle):
             # What has arrived but was not read yet is a request like any other.
@@ -110,6 +111,14 @@
                 self._idle.discard(channel)
                 channel.abort()
 
+    def _accept_waiting(self) -> None:
+        # Connections that the kernel has taken would be reset with the listener,
+        # whatever they have sent.
+        if self._server.closed:
+            return
+        while (accepted := self._server.do_read()) is not None:
+            self._server.do_handle(*accepted)
+
     def kill(self) -> None:
         """Cut every connection."""
         self.stopping = True
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -411,6 +411,21 @@
         self.edge.close_listeners()
         self.assertIn(b"200 OK", socket.recv(65536))
 
+    def test_a_connection_not_yet_accepted_when_listeners_close_is_answered(self):
+        self.start_pair()
+        address = self.edge.options.outbound
+        # The kernel completes it while nothing of this process's loop runs.
+        plain = get_original("socket", "socket")()
+        plain.connect((address.host, address.port))
+        plain.sendall(
+            b"GET /read/1 HTTP/1.1\r\nHost: h.example\r\n"
+            b"Fuchsiaspool-Attempt-Id: a1\r\nFuchsiaspool-Deadline-Ms: 900\r\n\r\n"
+        )
+        self.edge.close_listeners()
+        socket = gevent.socket.socket(fileno=plain.detach())
+        self.addCleanup(socket.close)
+        self.assertIn(b"200 OK", socket.recv(65536))
+
     def test_an_outage_of_the_store_stops_nothing_that_runs(self):
         self.start_pair()
         self.platform.faults.down = True
