Ask the store for changes, not for each node

Change: two watchers a region (others hear from peers; all nodes together look once in two seconds at a lagging list, should every watcher be cut off), configuration from peers first at a start, lists of members that may lag, announcements that outlive a start and are renewed in twenty minutes, the dead removed by one of their data centre, growing pauses towards a store that is away. The log line of a removal says what became of it.

--- a/src/fuchsiaspool/configuration.py
+++ b/src/fuchsiaspool/configuration.py
@@ -1,22 +1,46 @@
-"""Bring the operator's configuration from the platform: by watch, else by poll."""
+"""Bring the operator's configuration: by watch on a few nodes, else from peers.
+
+Answers the load pattern in which each call to the platform is paid and hundreds of
+nodes start, or lose the platform, at once: what they ask of it follows from changes,
+not from how many they are.
+"""
 
 import logging
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any, Final
 
 from .clock import Clock
 from .controllers.settings import SettingsKeeper
 from .ids import Revision, SubtreePath, Version
-from .platform.objects import ObjectKey, Platform, ReadFault
-from .results import Err, Ok
+from .platform.objects import Listing, ObjectKey, Platform, ReadFault
+from .results import Err, Ok, Result
 from .settings.objects import Bundle
 
 _LOG = logging.getLogger(__name__)
-WATCH_SECONDS: Final = 20.0
-# A node that does not watch looks itself now and then, should its peers be cut off.
-POLL_SECONDS: Final = 30.0
-PAUSE_SECONDS: Final = 0.5
+# Just under the longest wait that the platform grants, 30 s.
+WATCH_SECONDS: Final = 28.0
+# A node that starts gives its peers this long to hand over what is in force.
+PEERS_SECONDS: Final = 0.4
+# Pauses between questions to a platform that does not answer.
+FIRST_PAUSE_SECONDS: Final = 0.4
+LONGEST_PAUSE_SECONDS: Final = 2.0
+# How often a node looks if it has become a watcher; that asks nobody.
+TAKEOVER_SECONDS: Final = 2.0
+# All nodes together look this often, each in its turn, should every watcher be cut
+# off from the platform. Half of the shortest bound on a change, 2.5 s, with a margin.
+FLEET_POLL_SECONDS: Final = 2.0
+LEAST_POLL_SECONDS: Final = 6.0
+
+
+@dataclass(frozen=True, slots=True)
+class WatchDuty:
+    """Tell who watches, how many nodes there are, and those of the region of news."""
+
+    is_watcher: Callable[[], bool]
+    count_nodes: Callable[[], int]
+    tell_region: Callable[[], None]
 
 
 class ConfigurationWatch:
@@ -29,7 +53,7 @@
         key: ObjectKey,
         path: SubtreePath,
         keeper: SettingsKeeper[Any],
-        is_watcher: Callable[[], bool],
+        duty: WatchDuty,
         chance: random.Random,
     ) -> None:
         self.reachable: bool | None = None
@@ -38,34 +62,27 @@
         self._key = key
         self._path = path
         self._keeper = keeper
-        self._is_watcher = is_watcher
+        self._duty = duty
         self._chance = chance
+        self._failures = 0
 
     def load(self) -> Version | None:
         """Read the object and adopt it; return where to watch on from."""
-        kind = self._key.partition("/")[0]
-        match self._platform.list_prefix(f"{kind}/"):
-            case Ok(listing):
-                self._note_reachable(True)
-                for stored in listing.items:
-                    if stored.key == self._key:
-                        self._adopt(stored.version, stored.value)
-                return listing.version
-        self._note_reachable(False)
-        return None
+        return self._take(self._platform.list_prefix(self._make_prefix()))
 
     def loop(self) -> None:
-        """Watch or poll for ever."""
+        """Watch or wait for peers, for ever."""
+        self._pause(PEERS_SECONDS)
         since: Version | None = None
         while True:
+            if not self._duty.is_watcher():
+                since = None
+                self._follow()
+                continue
             if since is None:
                 since = self.load()
                 if since is None:
-                    self._pause(PAUSE_SECONDS)
-                    continue
-            if not self._is_watcher():
-                self._pause(POLL_SECONDS)
-                since = None
+                    self._back_off()
                 continue
             since = self.watch(since)
 
@@ -82,19 +99,55 @@
             case Err(ReadFault.VERSION_TOO_OLD):
                 return None
         self._note_reachable(False)
-        self._pause(PAUSE_SECONDS)
+        self._back_off()
         return None
 
+    def _follow(self) -> None:
+        """Hear from peers until this node is to watch, or it is its turn to look."""
+        if self._keeper.revision == 0:
+            # Nobody could hand anything over: what is in force is read, not guessed.
+            if self.load() is None or self._keeper.revision == 0:
+                self._back_off()
+            return
+        turn = FLEET_POLL_SECONDS * self._duty.count_nodes()
+        left = max(LEAST_POLL_SECONDS, turn * self._chance.uniform(0.5, 1.5))
+        while left > 0:
+            self._clock.sleep(min(TAKEOVER_SECONDS, left))
+            left -= TAKEOVER_SECONDS
+            if self._duty.is_watcher():
+                return
+        self._take(self._platform.list_stale(self._make_prefix()))
+
+    def _take(self, found: Result[Listing, ReadFault]) -> Version | None:
+        if isinstance(found, Err):
+            self._note_reachable(False)
+            return None
+        self._note_reachable(True)
+        for stored in found.value.items:
+            if stored.key == self._key:
+                self._adopt(stored.version, stored.value)
+        return found.value.version
+
+    def _make_prefix(self) -> str:
+        return self._key.partition("/")[0] + "/"
+
     def _adopt(self, version: Version, value: bytes) -> None:
         revision = Revision(version)
-        self._keeper.adopt(
-            Bundle(revision, {self._path: value.decode()}, {self._path: revision})
-        )
+        bundle = Bundle(revision, {self._path: value.decode()}, {self._path: revision})
+        if self._keeper.adopt(bundle):
+            self._duty.tell_region()
+
+    def _back_off(self) -> None:
+        pause = FIRST_PAUSE_SECONDS * 2.0**self._failures
+        self._failures = min(self._failures + 1, 8)
+        self._pause(min(LONGEST_PAUSE_SECONDS, pause))
 
     def _pause(self, seconds: float) -> None:
         self._clock.sleep(seconds * self._chance.uniform(0.5, 1.5))
 
     def _note_reachable(self, reachable: bool) -> None:
+        if reachable:
+            self._failures = 0
         if self.reachable is reachable:
             return
         self.reachable = reachable
--- a/src/fuchsiaspool/controllers/bridging.py
+++ b/src/fuchsiaspool/controllers/bridging.py
@@ -17,16 +17,19 @@
 _SALT: Final = "bridge"
 
 
-def is_chosen(
-    node: NodeId, data_centre: DataCentre, members: Iterable[Member], salt: str, n: int
-) -> bool:
-    """Tell if a node is among the n that rendezvous hashing gives a duty."""
-    weights = sorted(
-        (hash_pair(salt, member.node), member.node)
+def is_chosen(node: NodeId, candidates: Iterable[NodeId], salt: str, n: int) -> bool:
+    """Tell if a node is among the n candidates that rendezvous hashing gives a duty."""
+    weights = sorted((hash_pair(salt, name), name) for name in candidates)
+    return any(name == node for _, name in weights[:n])
+
+
+def list_alive(members: Iterable[Member], data_centre: DataCentre) -> list[NodeId]:
+    """Return the members of a data centre that are alive."""
+    return [
+        member.node
         for member in members
         if member.data_centre == data_centre and member.state is MemberState.ALIVE
-    )
-    return any(name == node for _, name in weights[:n])
+    ]
 
 
 class Bridging:
@@ -48,7 +51,8 @@
         """Send a digest to one member of each other data centre, if chosen."""
         own = self._own()
         members = list(self._table.list_all())
-        if not is_chosen(own.node, own.data_centre, members, _SALT, BRIDGES):
+        near = list_alive(members, own.data_centre)
+        if not is_chosen(own.node, near, _SALT, BRIDGES):
             return
         centres: dict[DataCentre, list[Member]] = {}
         for member in members:
--- a/src/fuchsiaspool/controllers/members.py
+++ b/src/fuchsiaspool/controllers/members.py
@@ -50,6 +50,11 @@
         """Return every record, the dead included."""
         return self._members.values()
 
+    def count(self) -> int:
+        """Return how many nodes are known and not dead."""
+        dead = MemberState.DEAD
+        return sum(member.state is not dead for member in self._members.values())
+
     def list_service(self, service: ServiceName) -> tuple[Member, ...]:
         """Return the members of a service that may get work, in a fixed order."""
         found = self._services.get(service)
--- a/src/fuchsiaspool/controllers/membership.py
+++ b/src/fuchsiaspool/controllers/membership.py
@@ -111,6 +111,12 @@
         for member in self._chance.sample(peers, count):
             self._send(parse_address(member.peers), Ack(0))
 
+    def push_region(self) -> None:
+        """Tell a few members of each other data centre of the region what is new."""
+        for member in self._choose_abroad():
+            if member.region == self.own.region:
+                self._send(parse_address(member.peers), Ack(0))
+
     def collect_updates(self) -> list[Member]:
         """Return what is to ride on the next message."""
         return self.news.collect(len(self._round))
@@ -235,11 +241,14 @@
     def _choose_abroad(self) -> list[Member]:
         centres: dict[str, list[Member]] = {}
         for member in self._table.list_all():
-            if member.state is MemberState.ALIVE:
+            if member.state is not MemberState.DEAD:
                 centres.setdefault(member.data_centre, []).append(member)
         centres.pop(self.own.data_centre, None)
         chosen: list[Member] = []
-        for _, found in sorted(centres.items()):
+        for _, members in sorted(centres.items()):
+            # Right after a start no server has reported, so that none takes work.
+            alive = [m for m in members if m.state is MemberState.ALIVE]
+            found = alive or members
             count = min(PUSH_ABROAD, len(found))
             chosen += self._chance.sample(found, count)
         return chosen
--- a/src/fuchsiaspool/controllers/registry.py
+++ b/src/fuchsiaspool/controllers/registry.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ..clock import Clock
-from ..ids import NodeId, Version
+from ..ids import DataCentre, NodeId, Version
 from ..member_records import Member, MemberState
 from ..platform.objects import (
     Applied,
@@ -29,6 +29,23 @@
 # The platform must have answered for this long before its silence on a member
 # counts: after an outage every lease has lapsed.
 TRUST_SECONDS: Final = 2 * LEASE_SECONDS
+# A dead member's announcement is kept for so long, should it only have been cut off.
+DEAD_SECONDS: Final = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class Leases:
+    """Say how announcements age, in seconds: when renewed, lapsed, abandoned."""
+
+    renew: float = RENEW_SECONDS
+    lease: float = LEASE_SECONDS
+    trust: float = TRUST_SECONDS
+
+
+# Where peers judge who lives and each call to the platform is paid: one renewal in
+# twenty minutes is a twentieth of a call a minute. The dead are removed on the word
+# of their peers, so that a long lease keeps nobody's entry.
+LONG_LEASES: Final = Leases(1200.0, 3600.0, 7200.0)
 
 
 class Announcement(msgspec.Struct, frozen=True):
@@ -59,8 +76,11 @@
         platform: Platform,
         table: MemberTable,
         get_own: Callable[[], Member],
+        leases: Leases = Leases(),
     ) -> None:
         self.reachable = False
+        self.held = False
+        self._leases = leases
         self._clock = clock
         self._platform = platform
         self._table = table
@@ -72,7 +92,7 @@
     def announce(self) -> bool:
         """Create or renew the announcement; tell if it holds."""
         own = self._get_own()
-        lease = self._clock.wall() + LEASE_SECONDS
+        lease = self._clock.wall() + self._leases.lease
         value = msgspec.json.encode(Announcement(own, lease))
         key = make_key(own)
         outcome = self._platform.put(key, value, self._version)
@@ -81,6 +101,7 @@
             self._version = self._read_version(key)
             outcome = self._platform.put(key, value, self._version)
         self.reachable = isinstance(outcome, Applied | Conflict)
+        self.held = isinstance(outcome, Applied)
         if isinstance(outcome, Applied):
             self._version = outcome.version
             return True
@@ -92,9 +113,14 @@
         if self._version is not None:
             self._platform.delete(make_key(self._get_own()), self._version)
 
-    def read_members(self) -> bool:
-        """Merge what others announced, and bury the long gone; tell if it could."""
-        listed = self._platform.list_prefix(PREFIX)
+    def read_members(self, stale: bool = False) -> bool:
+        """Merge what others announced, and bury the long gone; tell if it could.
+
+        With `stale` the platform may answer from a copy that lags some seconds. An
+        announcement of an earlier life that says where this node is found holds on.
+        """
+        read = self._platform.list_stale if stale else self._platform.list_prefix
+        listed = read(PREFIX)
         if isinstance(listed, Err):
             self._trusted_since = None
             self._seen.clear()
@@ -103,11 +129,30 @@
         if self._trusted_since is None:
             self._trusted_since = now
         alive = self._merge(listed.value)
-        if now - self._trusted_since >= TRUST_SECONDS:
+        if now - self._trusted_since >= self._leases.trust:
             self._bury_lapsed(alive)
         self._remove_abandoned(listed.value)
         return True
 
+    def remove_dead(self, node: NodeId) -> None:
+        """Delete the announcement of a member that stays dead; block meanwhile.
+
+        One of the living of its data centre does this, on condition of the revision
+        that it reads, so that a member that returned meanwhile keeps its own.
+        """
+        self._clock.sleep(DEAD_SECONDS)
+        member = self._table.find(node)
+        if member is None or member.state is not MemberState.DEAD:
+            return
+        key = make_key(member)
+        if member.data_centre != self._get_own().data_centre:
+            return
+        if not self._is_remover(key, member.data_centre):
+            return
+        version = self._read_version(key)
+        if version is not None:
+            self._delete(key, version)
+
     def _merge(self, listing: Listing) -> set[NodeId]:
         alive: set[NodeId] = set()
         for stored in listing.items:
@@ -118,10 +163,21 @@
             if found.lease < self._clock.wall():
                 continue
             alive.add(found.member.node)
-            if found.member.node != self._get_own().node:
+            own = self._get_own()
+            if found.member.node != own.node:
                 self._table.merge(found.member)
+            elif self._version is None and self._still_holds(found, own):
+                self._version = stored.version
+                self.held = True
         return alive
 
+    def _still_holds(self, found: Announcement, own: Member) -> bool:
+        earlier = msgspec.structs.replace(
+            found.member, incarnation=own.incarnation, state=own.state
+        )
+        left = found.lease - self._clock.wall()
+        return earlier == own and left > self._leases.renew
+
     def _bury_lapsed(self, alive: set[NodeId]) -> None:
         # Peers judge the own data centre; elsewhere a lapsed lease has to do.
         own = self._get_own()
@@ -139,11 +195,23 @@
             stored.key: self._keep_sighting(stored, now) for stored in listing.items
         }
         for key, sighting in self._seen.items():
-            if now - sighting.since < TRUST_SECONDS or key == make_key(self._get_own()):
+            if key == make_key(self._get_own()):
+                continue
+            if now - sighting.since < self._leases.trust:
                 continue
             if self._is_remover(key):
-                _LOG.info("abandoned announcement removed", extra={"key": key})
-                self._platform.delete(key, sighting.version)
+                self._delete(key, sighting.version)
+
+    def _delete(self, key: ObjectKey, version: Version) -> None:
+        outcome = self._platform.delete(key, version)
+        _LOG.info(
+            "removal of an abandoned announcement",
+            extra={
+                "key": key,
+                "revision": version,
+                "outcome": type(outcome).__name__.lower(),
+            },
+        )
 
     def _keep_sighting(self, stored: StoredObject, now: float) -> _Sighting:
         known = self._seen.get(stored.key)
@@ -151,8 +219,12 @@
             return known
         return _Sighting(stored.version, now)
 
-    def _is_remover(self, key: ObjectKey) -> bool:
-        alive = [m for m in self._table.list_all() if m.state is MemberState.ALIVE]
+    def _is_remover(self, key: ObjectKey, centre: DataCentre | None = None) -> bool:
+        alive = [
+            m
+            for m in self._table.list_all()
+            if m.state is MemberState.ALIVE and centre in (None, m.data_centre)
+        ]
         others = [m for m in alive if make_key(m) != key]
         chosen = choose_subset(NodeId(key), others, 1)
         return any(member.node == self._get_own().node for member in chosen)
--- a/src/fuchsiaspool/parts.py
+++ b/src/fuchsiaspool/parts.py
@@ -7,7 +7,7 @@
 from .calls import Filter
 from .chains import CoreParts, build_core
 from .clock import SystemClock
-from .controllers.bridging import Bridging, is_chosen
+from .controllers.bridging import Bridging, is_chosen, list_alive
 from .controllers.contexts import Contexts
 from .controllers.membership import Membership
 from .controllers.registry import Registry
@@ -65,13 +65,16 @@
 
     def is_watcher(self) -> bool:
         """Tell if this node is to watch the settings."""
-        place, members = self.options.place, self.core.members.list_all()
-        return is_chosen(place.node, place.data_centre, members, "watch", WATCHERS)
+        return self._is_chosen("watch")
 
     def is_bridge(self) -> bool:
         """Tell if this node is to bridge to other data centres."""
+        return self._is_chosen("bridge")
+
+    def _is_chosen(self, duty: str) -> bool:
         place, members = self.options.place, self.core.members.list_all()
-        return is_chosen(place.node, place.data_centre, members, "bridge", WATCHERS)
+        near = list_alive(members, place.data_centre)
+        return is_chosen(place.node, near, duty, WATCHERS)
 
     def is_sweeper(self) -> bool:
         """Tell if this node is to sweep old shards."""
--- a/src/fuchsiaspool/platform/client.py
+++ b/src/fuchsiaspool/platform/client.py
@@ -1,5 +1,6 @@
 """Call the platform's object store over HTTP."""
 
+import functools
 import random
 import socket
 from collections.abc import Callable
@@ -31,6 +32,7 @@
 )
 from .wire import (
     OBJECTS_PATH,
+    STALE_TERM,
     NewMetadata,
     NewObject,
     StoreObject,
@@ -69,7 +71,9 @@
 class _Client:
     """Hold the connections to the platform."""
 
-    def __init__(self, address: Address, clock: Clock, chance: random.Random) -> None:
+    def __init__(
+        self, address: Address, clock: Clock, chance: random.Random, tries: int
+    ) -> None:
         self._pool = urllib3.HTTPConnectionPool(
             address.host,
             address.port,
@@ -79,6 +83,7 @@
         )
         self._clock = clock
         self._chance = chance
+        self._tries = tries
 
     def get(self, key: ObjectKey) -> Result[StoredObject, ReadFault]:
         found = self._read(_make_path(key), REQUEST_SECONDS, decode_object)
@@ -99,14 +104,18 @@
     def delete(self, key: ObjectKey, version: Version) -> WriteOutcome:
         return self._write("DELETE", f"{_make_path(key)}?revision={version}", None)
 
-    def list_prefix(self, prefix: str) -> Result[Listing, ReadFault]:
+    def list_prefix(
+        self, prefix: str, stale: bool = False
+    ) -> Result[Listing, ReadFault]:
         kind, start = _split(prefix)
         items: list[StoredObject] = []
         at: int | None = None
         after = ""
         while True:
-            query = f"?after={quote(after, safe='')}" if after else ""
-            path = f"{OBJECTS_PATH}/{kind}{query}"
+            terms = [STALE_TERM] if stale else []
+            if after:
+                terms.append(f"after={quote(after, safe='')}")
+            path = f"{OBJECTS_PATH}/{kind}" + ("?" + "&".join(terms) if terms else "")
             page = self._read(path, REQUEST_SECONDS, decode_list)
             if isinstance(page, Err):
                 return page
@@ -144,9 +153,9 @@
         path: str,
         limit: float,
         decode: Callable[[bytes], T],
-        tries: int = READ_TRIES,
+        tries: int | None = None,
     ) -> Result[T, ReadFault]:
-        for attempt in range(tries):
+        for attempt in range(tries or self._tries):
             if attempt:
                 pause = RETRY_SECONDS * 2**attempt
                 self._clock.sleep(pause * self._chance.uniform(0.5, 1.5))
@@ -213,11 +222,21 @@
     return f"{OBJECTS_PATH}/{kind}/{quote(name, safe='')}"
 
 
-def make_platform(address: Address, clock: Clock, chance: random.Random) -> Platform:
-    """Return the object API of the platform at an address."""
-    client = _Client(address, clock, chance)
+def make_platform(
+    address: Address, clock: Clock, chance: random.Random, tries: int = READ_TRIES
+) -> Platform:
+    """Return the object API of the platform at an address.
+
+    A read that fails is tried again until it was made `tries` times.
+    """
+    client = _Client(address, clock, chance, tries)
     return Platform(
-        client.get, client.put, client.delete, client.list_prefix, client.watch
+        client.get,
+        client.put,
+        client.delete,
+        client.list_prefix,
+        functools.partial(client.list_prefix, stale=True),
+        client.watch,
     )
 
 
@@ -228,5 +247,6 @@
         lambda key, value, version: Unavailable("no platform"),
         lambda key, version: Unavailable("no platform"),
         lambda prefix: Err(ReadFault.UNAVAILABLE),
+        lambda prefix: Err(ReadFault.UNAVAILABLE),
         lambda prefix, version, seconds: Err(ReadFault.UNAVAILABLE),
     )
--- a/src/fuchsiaspool/platform/objects.py
+++ b/src/fuchsiaspool/platform/objects.py
@@ -85,10 +85,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Platform:
-    """Offer the object API as functions; `None` as version means create."""
+    """Offer the object API as functions; `None` as version means create.
+
+    `list_stale` may bring what is some seconds old, at a fraction of the cost.
+    """
 
     get: Callable[[ObjectKey], Result[StoredObject, ReadFault]]
     put: Callable[[ObjectKey, bytes, Version | None], WriteOutcome]
     delete: Callable[[ObjectKey, Version], WriteOutcome]
     list_prefix: Callable[[str], Result[Listing, ReadFault]]
+    list_stale: Callable[[str], Result[Listing, ReadFault]]
     watch: Callable[[str, Version, float], Result[Events, ReadFault]]
--- a/src/fuchsiaspool/platform/wire.py
+++ b/src/fuchsiaspool/platform/wire.py
@@ -17,6 +17,8 @@
 READINESS_PATH: Final = "/-/readiness"
 INSTANCE_PATH: Final = "/-/instances/<instance>"
 OBJECTS_PATH: Final = "/-/objects"
+# Lets the store answer a list from a copy that may lag, at a tenth of the price.
+STALE_TERM: Final = "allowStale=1"
 
 
 class Metadata(msgspec.Struct, frozen=True, rename="camel"):
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -9,12 +9,11 @@
 
 import gevent
 import gevent.event
-import msgspec
 
 from .addresses import parse_address
 from .calls import Call, compose
 from .clock import SystemClock
-from .configuration import ConfigurationWatch
+from .configuration import ConfigurationWatch, WatchDuty
 from .controllers.admission import Admission
 from .controllers.attendance import make_attendance
 from .controllers.backend import BackendServer, ServerState
@@ -26,7 +25,7 @@
 from .controllers.members import MemberTable
 from .controllers.membership import PERIOD_SECONDS, Membership
 from .controllers.placement import Placement
-from .controllers.registry import RENEW_SECONDS, Registry
+from .controllers.registry import LONG_LEASES, Registry
 from .controllers.retries import RetryRatio
 from .controllers.returns import Returns
 from .controllers.rotation import Rotation
@@ -80,11 +79,17 @@
 from .serving import make_belongs, make_serving
 
 _LOG = logging.getLogger(__name__)
-# Nodes of a data centre that watch the store; the others hear from these.
-WATCHERS: Final = 4
+# Nodes of a region that watch the store; the others hear from these. Two, so that one
+# may be lost; a third would only add its calls.
+WATCHERS: Final = 2
 # Between questions to a server whose heartbeat has not come yet.
 PROBE_PAUSE_SECONDS: Final = 0.25
-JOIN_SECONDS: Final = 1.0
+# Seconds after a start at which the members are read once more: nodes that start at
+# the same moment miss each other in a list that may lag by seconds.
+LATER_READS: Final = (0.6, 2.0, 6.0)
+# Pauses between tries to announce this node to a store that does not answer.
+JOIN_SECONDS: Final = 0.5
+LONGEST_JOIN_SECONDS: Final = 4.0
 # Members asked for all that they know when a node starts.
 JOIN_MEMBERS: Final = 6
 # In force until the server tells its slots.
@@ -114,6 +119,8 @@
 PEER_GRACE_SECONDS: Final = 0.1
 PEER_IDLE_SECONDS: Final = 60.0
 SERVER_GRACE_SECONDS: Final = 0.05
+# A node without a server, or that is being started anew, holds its duty.
+_MAY_WATCH: Final = (MemberState.ALIVE, MemberState.LEAVING)
 _MILLI: Final = 1000
 
 
@@ -284,7 +291,8 @@
     def _build_peers(self) -> None:
         options, clock = self.options, self.clock
         place = options.place
-        self.platform = make_platform(options.platform, clock, self.chance)
+        # Whoever asks here asks again by itself, at a pace that the store bears.
+        self.platform = make_platform(options.platform, clock, self.chance, tries=1)
         self.bus = PeerBus(
             place,
             options.peers,
@@ -312,7 +320,11 @@
         )
         wire_members(self.bus, self.membership, self.bridging, self.keeper)
         self.registry = Registry(
-            clock, self.platform, self.members, lambda: self.membership.own
+            clock,
+            self.platform,
+            self.members,
+            lambda: self.membership.own,
+            LONG_LEASES,
         )
         self.watch = ConfigurationWatch(
             clock,
@@ -320,7 +332,9 @@
             CONFIGURATION_KEY,
             CONFIGURATION_PATH,
             self.keeper,
-            self._is_watcher,
+            WatchDuty(
+                self._is_watcher, self.members.count, self.membership.push_region
+            ),
             self.chance,
         )
         self.server.listen(
@@ -357,7 +371,10 @@
         started = self.clock.now()
         last = started + self.options.grace * (1 - EXIT_SHARE)
         self.membership.leave()
-        gevent.spawn(self.registry.withdraw)
+        if self.server.state is not ServerState.READY:
+            # The server has gone, and its instance with it. Otherwise this node is
+            # only started anew: peers know that it leaves, and will find it again.
+            gevent.spawn(self.registry.withdraw)
         self._inbound_server.wind_down()
         self._outbound_server.wind_down()
         # Callers still come until the platform has noticed, and what the own server
@@ -407,16 +424,33 @@
     # What runs beside the calls.
 
     def _join_loop(self) -> None:
-        announced = False
+        self._read_members()
+        known = self.registry.held and self.members.count() > 1
+        self._announce()
+        # Where an announcement of an earlier life holds, peers know this node.
+        for seconds in () if known else LATER_READS:
+            gevent.sleep(seconds * self.chance.uniform(0.7, 1.3))
+            self._read_members()
         while True:
-            announced = self.registry.announce()
-            if self.registry.read_members():
-                self._join_some()
-            if self.keeper.revision > 0 and self.state is NodeState.STARTING:
-                self.state = NodeState.READY
-                _LOG.info("ready", extra={"revision": self.keeper.revision})
-            pause = RENEW_SECONDS if announced else JOIN_SECONDS
-            gevent.sleep(pause * self.chance.uniform(0.8, 1.2))
+            gevent.sleep(LONG_LEASES.renew * self.chance.uniform(0.8, 1.2))
+            self.registry.held = False
+            self._announce()
+            self._read_members()
+
+    def _announce(self) -> None:
+        pause = JOIN_SECONDS
+        while not self.registry.held and not self.registry.announce():
+            gevent.sleep(pause * self.chance.uniform(0.7, 1.3))
+            pause = min(2 * pause, LONGEST_JOIN_SECONDS)
+            if self.members.count() <= 1:
+                self._read_members()
+
+    def _read_members(self) -> None:
+        known = self.members.version
+        if not self.registry.read_members(stale=True):
+            return
+        if self.members.version != known or self.keeper.revision == 0:
+            self._join_some()
 
     def _find_server(self) -> None:
         # An earlier process of this node may have left a server that is running.
@@ -431,11 +465,11 @@
                 self.server.take_report(report)
 
     def _join_some(self) -> None:
-        others = [
-            member
-            for member in self.members.list_all()
-            if member.node != self.options.place.node
-        ]
+        # Every answer holds all members: between regions those are paid by volume.
+        place = self.options.place
+        others = [m for m in self.members.list_all() if m.node != place.node]
+        near = [m for m in others if m.region == place.region]
+        others = near or others
         chosen = self.chance.sample(others, min(JOIN_MEMBERS, len(others)))
         self.membership.join(tuple(parse_address(m.peers) for m in chosen))
 
@@ -462,17 +496,22 @@
         if member.state is MemberState.DEAD:
             self.placement.forget(member.node)
             self.pool.forget(member.mesh_address)
+            if member.data_centre == self.options.place.data_centre:
+                self._spawn(self.registry.remove_dead, member.node)
         elif member.state is MemberState.ALIVE:
             self.placement.welcome(member.node)
 
     def _is_watcher(self) -> bool:
         place = self.options.place
-        members = [
-            msgspec.structs.replace(m, state=MemberState.ALIVE)
-            for m in self.members.list_all()
-            if m.state in (MemberState.ALIVE, MemberState.LEAVING)
+        nodes = [
+            member.node
+            for member in self.members.list_all()
+            if member.region == place.region and member.state in _MAY_WATCH
         ]
-        return is_chosen(place.node, place.data_centre, members, "watch", WATCHERS)
+        # Whoever hears from no peer has to look itself.
+        return self.membership.isolated or is_chosen(
+            place.node, nodes, "watch", WATCHERS
+        )
 
     def _repeat(self, seconds: float, action: Callable[[], None]) -> None:
         gevent.sleep(seconds * self.chance.random())
--- a/src/fuchsiaspool/standins/memory.py
+++ b/src/fuchsiaspool/standins/memory.py
@@ -57,4 +57,4 @@
     ) -> Result[Events, ReadFault]:
         return Err(ReadFault.UNAVAILABLE)
 
-    return Platform(get, put, delete, list_prefix, watch)
+    return Platform(get, put, delete, list_prefix, list_prefix, watch)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -86,4 +86,6 @@
                 return Err(ReadFault.UNAVAILABLE)
             return Ok(self.store.list_prefix(prefix))
 
-        return Platform(get, put, delete, list_prefix, lambda *a: Err(None))
+        return Platform(
+            get, put, delete, list_prefix, list_prefix, lambda *a: Err(None)
+        )
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,10 +1,13 @@
 import random
 import unittest
 
+import msgspec
+
 from fuchsiaspool.benchmarks.capacity import make_tree
 from fuchsiaspool.clock import PausedClock
 from fuchsiaspool.controllers.members import MemberTable
 from fuchsiaspool.controllers.registry import (
+    DEAD_SECONDS,
     LEASE_SECONDS,
     PREFIX,
     RENEW_SECONDS,
@@ -408,6 +411,54 @@
         self.assertLessEqual(max(self.fake.requests["read"].values()), READS_A_SECOND)
         self.assertLessEqual(max(self.fake.requests["write"].values()), WRITES_A_SECOND)
 
+    def test_the_announcement_of_an_earlier_life_holds_without_a_write(self):
+        earlier, _ = self.make("a")
+        self.announce(earlier)
+        self.fake.requests.clear()
+        later, _ = self.make("a", incarnation=2)
+        self.clock.run(later.read_members, True)
+        self.assertTrue(later.held)
+        self.assertEqual(self.fake.requests["write"], {})
+
+    def test_an_announcement_that_names_another_address_does_not_hold(self):
+        earlier, _ = self.make("a")
+        self.announce(earlier)
+        later, _ = self.make("a", incarnation=2)
+        own = later._get_own()
+        moved = msgspec.structs.replace(own, mesh="127.0.0.9:1")
+        later._get_own = lambda: moved
+        self.clock.run(later.read_members)
+        self.assertFalse(later.held)
+        self.assertTrue(self.announce(later))
+
+    def test_one_of_the_living_removes_what_a_dead_member_announced(self):
+        gone, _ = self.make("gone")
+        self.announce(gone)
+        living = [self.make(name) for name in ("a", "b", "c")]
+        for registry, table in living:
+            self.announce(registry)
+            for name in ("a", "b", "c"):
+                table.merge(make_member(name))
+            table.merge(make_member("gone", state=DEAD))
+            self.clock.spawn(registry.remove_dead, "gone")
+        self.fake.requests.clear()
+        self.clock.advance(DEAD_SECONDS + 1.0)
+        kept = {stored.key for stored in self.fake.store.list_prefix(PREFIX).items}
+        self.assertEqual(kept, {make_key(make_member(n)) for n in ("a", "b", "c")})
+        self.assertEqual(sum(self.fake.requests["write"].values()), 1)
+
+    def test_a_member_that_returned_meanwhile_keeps_its_announcement(self):
+        cut, _ = self.make("cut")
+        self.announce(cut)
+        near, table = self.make("near")
+        table.merge(make_member("near"))
+        table.merge(make_member("cut", state=DEAD))
+        self.clock.spawn(near.remove_dead, "cut")
+        self.clock.advance(DEAD_SECONDS / 2)
+        table.merge(make_member("cut", incarnation=Incarnation(2)))
+        self.clock.advance(DEAD_SECONDS)
+        self.assertEqual(len(self.fake.store.list_prefix(PREFIX).items), 1)
+
     def test_a_platform_that_is_down_is_said_to_be(self):
         first, _ = self.make("a", faults=[Fault.DOWN] * 9)
         self.assertFalse(self.announce(first))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -234,6 +234,7 @@
             platform.put,
             platform.delete,
             platform.list_prefix,
+            platform.list_stale,
             lambda *a: Err(ReadFault.VERSION_TOO_OLD),
         )
         watch = SettingsWatch(
