--- a/src/fuchsiaspool/controllers/counters.py
+++ b/src/fuchsiaspool/controllers/counters.py
@@ -24,4 +24,7 @@
 
     def find(self, class_name: str) -> OutcomeCounts:
         """Return the counts of a class."""
-        return self.classes.setdefault(class_name, OutcomeCounts())
+        counts = self.classes.get(class_name)
+        if counts is None:
+            counts = self.classes[class_name] = OutcomeCounts()
+        return counts
--- a/src/fuchsiaspool/http/channels.py
+++ b/src/fuchsiaspool/http/channels.py
@@ -38,6 +38,7 @@
         "_waiter",
         "_writable",
         "_writing",
+        "disturbed",
         "socket",
     )
 
@@ -45,6 +46,8 @@
         tune_socket(socket)
         socket.settimeout(0.0)
         self.socket = socket
+        # Bytes or the end came while nobody read.
+        self.disturbed = False
         self._readable = gevent.get_hub().loop.io(socket.fileno(), _READ_EVENT)
         self._listening = False
         self._waiter: Any = None
@@ -112,6 +115,12 @@
         """Stop watching."""
         self._action = None
 
+    def rest(self) -> None:
+        """Stay idle without a limit, and note if anything comes meanwhile."""
+        self.limit(_NEVER)
+        self.disturbed = False
+        self._listen()
+
     def abort(self) -> None:
         """Cut the connection, so that whoever waits on it wakes."""
         try:
@@ -130,6 +139,9 @@
 
     def _set_limit(self, seconds: float) -> None:
         self._expired = False
+        if seconds == _NEVER:
+            self._until = _NEVER
+            return
         self._until = time.monotonic() + seconds
         if self._until < self._check_at:
             self._arm(seconds)
@@ -153,6 +165,7 @@
         if found is Peek.QUIET:
             return
         # Nobody reads now: the event would come again and again.
+        self.disturbed = True
         self._readable.stop()
         self._listening = False
         if self._action is not None:
--- a/src/fuchsiaspool/http/client.py
+++ b/src/fuchsiaspool/http/client.py
@@ -38,6 +38,12 @@
 FOREIGN_ANSWERS: Final = 2
 # Longest answer without a length that is held until its connection ends.
 UNFRAMED_BYTES: Final = 8_388_608
+# For so long after its last answer a connection is taken for sound unless an event on
+# it was seen: peers forget idle connections after seconds, and the loop polls.
+FRESH_SECONDS: Final = 0.1
+# An answer that states no length may go on for so long after its call's deadline: as
+# long as a stalled reader is waited for. One without end would never stop otherwise.
+ENDLESS_SECONDS: Final = 5.0
 # Makes a call's headers when a connection stands, since some tell what time is left.
 MakeHeaders = Callable[[], Headers]
 _BODILESS_METHODS: Final = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
@@ -61,17 +67,22 @@
 
 
 class Connection:
-    """Hold one connection and its reader; `expires` in monotonic seconds."""
+    """Hold one connection and its reader; moments in monotonic seconds."""
 
-    __slots__ = ("channel", "reader", "expires")
+    __slots__ = ("channel", "reader", "expires", "used")
 
     def __init__(self, socket: Any) -> None:
         self.channel = Channel(socket)
         self.reader = MessageReader(self.channel, for_requests=False)
         self.expires = 0.0
+        self.used = 0.0
 
-    def is_stale(self) -> bool:
+    def is_stale(self, now: float) -> bool:
         """Tell if the server closed the connection or sent bytes unasked."""
+        if self.channel.disturbed:
+            return True
+        if now - self.used < FRESH_SECONDS:
+            return False
         return self.channel.peek() is not Peek.QUIET
 
     def close(self) -> None:
@@ -92,7 +103,7 @@
         now = time.monotonic()
         while idle:
             connection = idle.pop()
-            if connection.expires > now and not connection.is_stale():
+            if connection.expires > now and not connection.is_stale(now):
                 return connection
             connection.close()
         return None
@@ -114,6 +125,7 @@
         idle = self._idle.setdefault(address, [])
         now = time.monotonic()
         connection.expires = now + idle_seconds
+        connection.used = now
         # The oldest are used last: close those that have expired unused.
         while idle and idle[0].expires <= now:
             idle.pop(0).close()
@@ -121,7 +133,7 @@
             connection.close()
             return
         connection.reader.reset()
-        connection.channel.limit(float("inf"))
+        connection.channel.rest()
         idle.append(connection)
 
     def forget(self, address: Address) -> None:
@@ -155,6 +167,7 @@
         self._make_headers = make_headers
         self._handed_over = False
         self._foreign = False
+        self._streamed = False
         self._connection: Connection | None = None
 
     def run(self) -> Outcome:
@@ -186,9 +199,15 @@
         if not isinstance(outcome, Answered) or outcome.body.whole:
             forget()
         else:
-            call.finishers.append(lambda whole: forget())
+            call.finishers.append(lambda whole: self._end_stream(connection, forget))
         return outcome
 
+    def _end_stream(self, connection: Connection, forget: Callable[[], None]) -> None:
+        forget()
+        if not self._streamed:
+            # Nobody has read the answer to its end, or at all.
+            connection.close()
+
     def _exchange(self, connection: Connection) -> Outcome:
         if self._call.cancellation.cancelled:
             connection.close()
@@ -284,10 +303,15 @@
     def _iterate(self, connection: Connection, head: Head) -> Iterator[bytes]:
         done = False
         connection.channel.limit_stalls(STALL_SECONDS)
+        last = self._call.deadline + ENDLESS_SECONDS
         try:
-            yield from connection.reader.iterate_rest()
+            for piece in connection.reader.iterate_rest():
+                yield piece
+                if head.length is None and self._clock.now() > last:
+                    raise BodyError("no end in sight after the deadline")
             done = True
         finally:
+            self._streamed = True
             if done:
                 self._release(connection, head)
             else:
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -41,6 +41,34 @@
         gevent.spawn_later(2 * LIMIT_SECONDS, self.peer.sendall, b"late")
         self.assertEqual(self.channel.recv(10), b"late")
 
+    def test_what_comes_while_a_connection_rests_is_noted(self):
+        for action in (lambda: self.peer.sendall(b"late"), self.peer.close):
+            self.channel.rest()
+            gevent.sleep(0)
+            self.assertFalse(self.channel.disturbed)
+            action()
+            with gevent.Timeout(LATE_SECONDS):
+                while not self.channel.disturbed:
+                    gevent.sleep(0.001)
+            self.channel.peek()
+
+    def test_bytes_that_come_while_sending_do_not_disturb_a_later_rest(self):
+        gevent.spawn_later(LIMIT_SECONDS, self.peer.sendall, b"early")
+        taken = gevent.spawn_later(2 * LIMIT_SECONDS, self.drain, len(LARGE))
+        self.channel.send(LARGE)
+        taken.get(timeout=5.0)
+        self.assertEqual(self.channel.recv(10), b"early")
+        self.channel.rest()
+        gevent.sleep(0.01)
+        self.assertFalse(self.channel.disturbed)
+        self.peer.sendall(b"late")
+        gevent.sleep(0.01)
+        self.assertTrue(self.channel.disturbed)
+
+    def drain(self, size):
+        while size:
+            size -= len(self.peer.recv(1 << 16))
+
     def test_a_shorter_limit_replaces_a_longer_one(self):
         self.channel.limit(60.0)
         self.channel.limit(LIMIT_SECONDS)
