--- a/src/fuchsiaspool/platform/client.py
+++ b/src/fuchsiaspool/platform/client.py
@@ -4,9 +4,11 @@
 import random
 import socket
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Final, TypeVar
 from urllib.parse import quote
 
+import gevent
 import msgspec
 import urllib3
 from urllib3.connection import HTTPConnection
@@ -55,9 +57,22 @@
 KEEPALIVE_SECONDS: Final = 1
 KEEPALIVE_PROBES: Final = 2
 
-_Answer = urllib3.BaseHTTPResponse
+# Above the time-out of each wait, so that the library's own word comes first.
+_TOTAL_MARGIN_SECONDS: Final = 0.2
+# Longest answer that is held: a page is 1 MB or one object, whichever is more.
+ANSWER_BYTES: Final = 8_388_608
+
 T = TypeVar("T")
 
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """Hold the status and the whole body of an answer."""
+
+    status: int
+    data: bytes
+
+
 SOCKET_OPTIONS: Final = [
     *HTTPConnection.default_socket_options,
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -160,7 +175,7 @@
                 pause = RETRY_SECONDS * 2**attempt
                 self._clock.sleep(pause * self._chance.uniform(0.5, 1.5))
             try:
-                answer = self._pool.request("GET", path, timeout=limit, retries=False)
+                answer = self._exchange("GET", path, limit)
             except HTTPError:
                 continue
             if answer.status == 404:
@@ -175,17 +190,35 @@
                 continue
         return Err(ReadFault.UNAVAILABLE)
 
-    def _write(self, method: str, path: str, body: bytes | None) -> WriteOutcome:
-        # A write is sent once; whoever asked settles an ambiguous one by reading.
-        try:
+    def _exchange(
+        self, method: str, path: str, limit: float, body: bytes | None = None
+    ) -> _Answer:
+        """Send one call and hold its whole answer; raise `HTTPError`.
+
+        The time-out of the library bounds each wait, so that bytes which trickle or
+        flood without end would never end the call: it has a time and a size in all.
+        """
+        headers = None if body is None else {"Content-Type": "application/json"}
+        with gevent.Timeout(limit + _TOTAL_MARGIN_SECONDS, TimeoutError("too slow")):
             answer = self._pool.request(
                 method,
                 path,
                 body=body,
-                headers={"Content-Type": "application/json"},
-                timeout=REQUEST_SECONDS,
+                headers=headers,
+                timeout=limit,
                 retries=False,
+                preload_content=False,
             )
+            data = answer.read(ANSWER_BYTES + 1, cache_content=False)
+            if len(data) > ANSWER_BYTES:
+                answer.close()
+                raise HTTPError("answer over the limit")
+            return _Answer(answer.status, data)
+
+    def _write(self, method: str, path: str, body: bytes | None) -> WriteOutcome:
+        # A write is sent once; whoever asked settles an ambiguous one by reading.
+        try:
+            answer = self._exchange(method, path, REQUEST_SECONDS, body)
         except (NewConnectionError, ConnectTimeoutError) as error:
             return Unavailable(str(error))
         except HTTPError as error:
--- a/src/fuchsiaspool/platform/pages.py
+++ b/src/fuchsiaspool/platform/pages.py
@@ -3,10 +3,12 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final
 
 import bottle
-from gevent.pywsgi import WSGIServer
+import gevent
+import gevent.socket
+from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from ..addresses import Address
 from ..controllers.backend import ServerReport
@@ -19,6 +21,9 @@
 _LOG = logging.getLogger(__name__)
 # Longest body of a heartbeat that is read, in bytes.
 BEAT_BYTES: Final = 16_384
+# The server turns to another node when a heartbeat is not answered in a second.
+BEAT_SECONDS: Final = 1.0
+ABORT_KEY: Final = "fuchsiaspool.abort"
 METRICS_PATH: Final = "/metrics"
 
 
@@ -51,7 +56,7 @@
     app = bottle.Bottle()
 
     def take_beat(instance: str) -> dict[str, str]:
-        found = read_beat(instance, bottle.request.body.read(BEAT_BYTES))
+        found = read_beat(instance, _read_body())
         if isinstance(found, Err):
             # Some writer of another kind: it names no server to use.
             _LOG.warning(
@@ -63,7 +68,7 @@
         return {}
 
     def take_departure(instance: str) -> dict[str, str]:
-        born = read_departure(bottle.request.body.read(BEAT_BYTES))
+        born = read_departure(_read_body())
         source.take_departure(InstanceId(instance), born)
         return {}
 
@@ -72,6 +77,18 @@
     return _make_server(address, app)
 
 
+def _read_body() -> bytes:
+    # Not by `request.body`, which holds whatever comes.
+    environ = bottle.request.environ
+    with gevent.Timeout(BEAT_SECONDS, False):
+        data: bytes = environ["wsgi.input"].read(BEAT_BYTES + 1)
+        if len(data) <= BEAT_BYTES:
+            return data
+    _LOG.warning("heartbeat too long or too slow", extra={"limit": BEAT_BYTES})
+    environ[ABORT_KEY]()
+    raise bottle.HTTPError(413, "heartbeat too long or too slow")
+
+
 def make_metrics_page(address: Address, source: PageSource) -> WSGIServer:
     """Return a server that shows counters and latencies as text."""
     app = bottle.Bottle()
@@ -84,5 +101,16 @@
     return _make_server(address, app)
 
 
+class _Handler(WSGIHandler):  # type: ignore[misc]  # the library has no types
+    """Let a page cut its connection, whose rest would be read to the end otherwise."""
+
+    def get_environ(self) -> dict[str, Any]:
+        environ: dict[str, Any] = super().get_environ()
+        environ[ABORT_KEY] = lambda: self.socket.shutdown(gevent.socket.SHUT_RDWR)
+        return environ
+
+
 def _make_server(address: Address, app: bottle.Bottle) -> WSGIServer:
-    return WSGIServer(listen(address), app, log=None, error_log=None)
+    return WSGIServer(
+        listen(address), app, log=None, error_log=None, handler_class=_Handler
+    )
--- a/src/fuchsiaspool/probing.py
+++ b/src/fuchsiaspool/probing.py
@@ -47,6 +47,7 @@
             Allowance(0),
         )
         answer = send(address, call, lambda: [(b"host", str(address).encode())])
+        call.finish(False)
         if not isinstance(answer, Answered) or answer.status != _OK:
             return None
         instance = find_header(answer.headers, interface.names.instance)
