Count bytes beside a body once for heads, size lines and trailers

Change: one count of bytes since the start of a message or its last piece of body bounds all of them at 32 KiB; header names and values are summed only where a block may be over.

--- a/src/fuchsiaspool/http/messages.py
+++ b/src/fuchsiaspool/http/messages.py
@@ -44,12 +44,11 @@
 
 
 class _Message:
-    __slots__ = ("head", "headers", "header_bytes", "target", "parts", "complete")
+    __slots__ = ("head", "headers", "target", "parts", "complete")
 
     def __init__(self) -> None:
         self.head: Head | None = None
         self.headers: Headers = []
-        self.header_bytes = 0
         self.target = b""
         self.parts: list[bytes] = []
         self.complete = False
@@ -62,7 +61,10 @@
         self.socket = socket
         self._for_requests = for_requests
         self._messages: deque[_Message] = deque()
-        self._header_bytes = 0
+        # Of the message that is being read: its headers, and at most how many bytes
+        # have come since its start or its last piece of body.
+        self._headers: Headers = []
+        self._overhead = 0
         self._error: MessageError | None = None
         if for_requests:
             self._parser = httptools.HttpRequestParser(self)
@@ -109,6 +111,8 @@
         message = self._messages[0]
         while not message.complete and sum(map(len, message.parts)) < limit:
             self.receive()
+        if message.complete and len(message.parts) == 1:
+            return message.parts.pop()
         return self._take(message)
 
     def iterate_rest(self) -> Iterator[bytes]:
@@ -131,6 +135,7 @@
         return data
 
     def _feed(self, data: bytes) -> None:
+        self._overhead += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -139,43 +144,46 @@
             cause = error.__context__
             known = isinstance(cause, MessageError)
             self._error = cause if known else MessageError(str(error))
-        self._check_header_size(len(data))
+        self._check_overhead()
         # Messages that came whole before the fault are still served.
         if self._error is not None and not self.complete:
             raise self._error
 
-    def _check_header_size(self, size: int) -> None:
-        if not self._messages or self._messages[-1].head is not None:
-            self._header_bytes = 0
+    def _check_overhead(self) -> None:
+        # A head, the size line of a chunk or trailers may come without end.
+        if self._overhead <= HEADER_BYTES or self._error is not None:
             return
-        self._header_bytes += size
-        if self._header_bytes > HEADER_BYTES and self._error is None:
+        message = self._messages[-1] if self._messages else None
+        if message is None or message.head is None:
             self._error = HeaderTooLargeError(f"header over {HEADER_BYTES} bytes")
+        else:
+            self._error = MessageError(f"over {HEADER_BYTES} bytes beside the body")
 
     # The parser library calls the methods below.
 
     def on_message_begin(self) -> None:
         """Open a new message."""
-        self._messages.append(_Message())
+        message = _Message()
+        self._headers = message.headers
+        self._messages.append(message)
 
     def on_url(self, data: bytes) -> None:
         """Collect the request target."""
         self._messages[-1].target += data
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect one header."""
-        message = self._messages[-1]
-        headers = message.headers
+        """Collect one header, or a trailer after a body in chunks."""
+        headers = self._headers
         headers.append((name.lower(), value))
-        message.header_bytes += len(name) + len(value)
         if len(headers) > HEADER_COUNT:
             raise HeaderTooLargeError(f"over {HEADER_COUNT} headers")
 
     def on_headers_complete(self) -> None:
         """Build the head."""
         message = self._messages[-1]
-        if message.header_bytes > HEADER_BYTES:
-            raise HeaderTooLargeError(f"header over {HEADER_BYTES} bytes")
+        # The bytes that came with it tell cheaply that a block can't be too large.
+        if self._overhead > HEADER_BYTES:
+            self._check_block(message)
         head = Head(message.headers, message.target)
         head.keep_alive = self._parser.should_keep_alive()
         if self._for_requests:
@@ -189,8 +197,14 @@
                 head.chunked = value.lower().endswith(b"chunked")
         message.head = head
 
+    def _check_block(self, message: _Message) -> None:
+        size = sum(len(name) + len(value) for name, value in message.headers)
+        if size > HEADER_BYTES:
+            raise HeaderTooLargeError(f"header over {HEADER_BYTES} bytes")
+
     def on_body(self, data: bytes) -> None:
         """Collect a piece of the body."""
+        self._overhead = 0
         self._messages[-1].parts.append(data)
 
     def on_message_complete(self) -> None:
@@ -200,6 +214,7 @@
             self._messages.pop()
             return
         message.complete = True
+        self._overhead = 0
 
 
 _HOP_HEADERS: Final = frozenset(
