--- a/src/fuchsiaspool/controllers/contexts.py
+++ b/src/fuchsiaspool/controllers/contexts.py
@@ -10,10 +10,11 @@
 
 @dataclass(slots=True)
 class Context:
-    """Hold a call in service and the lowest threshold met beneath it."""
+    """Hold a call in service, the threshold met beneath, and the calls done for it."""
 
     call: Call
     threshold: float = NO_THRESHOLD
+    done: int = 0
 
 
 class Contexts:
--- a/src/fuchsiaspool/controllers/retries.py
+++ b/src/fuchsiaspool/controllers/retries.py
@@ -1,8 +1,14 @@
-"""Keep retries to a share of first attempts, and resends to one allowance."""
+"""Keep retries to a share of first attempts, and resends to one allowance.
+
+Answers the load pattern in which the servers of a service deep in the chains refuse
+a large part of their calls whatever their load, and each chain needs several of them:
+what may be repeated goes to the chains of which most is done already.
+"""
 
 from collections import OrderedDict
 from typing import Final
 
+from ..calls import Call
 from ..clock import Clock
 from ..ids import CallerId, RequestId, ServiceName
 from .buckets import TokenBucket
@@ -10,10 +16,27 @@
 RATIO_DEPTH: Final = 10.0
 # Keeps a quiet service able to retry now and then, per second.
 TRICKLE_PER_SECOND: Final = 0.2
+# Retries that are kept for critical calls.
+CRITICAL_RESERVE: Final = 1.0
+# The same for each call of which a chain is short of having come far. With it even the
+# first call of a chain that is not critical finds a retry in a node's full bucket of 3.
+CHAIN_RESERVE: Final = 0.5
+CHAIN_CALLS: Final = 2
 RESEND_SECONDS: Final = 60.0
 RESEND_ENTRIES: Final = 20_000
 
 
+def choose_reserve(call: Call) -> float:
+    """Return how many retries a call has to leave to others that matter more.
+
+    A chain that has come far loses more by ending, and needs fewer calls to end well.
+    """
+    reserve = 0.0 if call.critical else CRITICAL_RESERVE
+    if call.nested:
+        reserve += max(0, CHAIN_CALLS - call.done) * CHAIN_RESERVE
+    return reserve
+
+
 class RetryRatio:
     """Pay for retries out of what first attempts of the same service put in."""
 
--- a/src/fuchsiaspool/filters/placing.py
+++ b/src/fuchsiaspool/filters/placing.py
@@ -6,7 +6,7 @@
 from ..calls import Call, Next
 from ..clock import Clock
 from ..controllers.placement import Placement
-from ..controllers.retries import RetryRatio
+from ..controllers.retries import RetryRatio, choose_reserve
 from ..ids import NodeId
 from ..member_records import Member
 from ..outcomes import Answered, NotRun, NotRunReason, Outcome, Unknown, UnknownReason
@@ -18,8 +18,6 @@
 # Share of first attempts that a service's repeats may reach from one node: below
 # the platform's ratio of 0.2, since a repeat repeats the calls beneath it too.
 REPEAT_RATIO: Final = 0.12
-# Repeats that are kept for critical calls.
-CRITICAL_RESERVE: Final = 1.0
 _BY_NODE: Final = frozenset(
     (
         NotRunReason.CONNECT_FAILED,
@@ -47,7 +45,7 @@
             chosen = placement.choose(call, tried)
             if isinstance(chosen, NotRunReason):
                 return doubt or outcome or NotRun(chosen)
-            reserve = 0.0 if call.critical else CRITICAL_RESERVE
+            reserve = choose_reserve(call)
             if _reached_server(outcome) and not ratio.take(call.service, reserve):
                 call.trail.append("no repeat left")
                 return doubt or outcome or NotRun(NotRunReason.NO_SERVER)
--- a/src/fuchsiaspool/gateway.py
+++ b/src/fuchsiaspool/gateway.py
@@ -22,10 +22,11 @@
 )
 from .nesting import inherit
 from .node_load import NodeLoad
-from .outcomes import NotRun, NotRunReason, Outcome, Unknown, choose_status
+from .outcomes import Answered, NotRun, NotRunReason, Outcome, Unknown, choose_status
 
 # Longest wait of a caller that names none.
 LONGEST_SECONDS: Final = 60.0
+SERVER_ERROR: Final = 500
 _MILLI: Final = 1000.0
 _PREFIX: Final = uuid.uuid4().hex[:12]
 _numbers: Final = itertools.count()
@@ -61,6 +62,7 @@
             return Reply(_guard(call, outbound, finish), [], finish)
         call.nested = True
         call.from_outside = False
+        call.done = context.done
         inherit(call, context.call)
         # The server is told who calls it, not who began the request.
         call.caller = CallerId(own)
@@ -68,6 +70,7 @@
         outcome = _guard(call, outbound, finish)
         forget()
         context.threshold = min(context.threshold, outcome.threshold)
+        context.done += isinstance(outcome, Answered) and outcome.status < SERVER_ERROR
         learn_beneath(context.call, outcome)
         return Reply(outcome, [], finish)
 
--- a/tests/test_load_decisions.py
+++ b/tests/test_load_decisions.py
@@ -12,9 +12,11 @@
 from fuchsiaspool.controllers.level import AdmissionLevel
 from fuchsiaspool.controllers.members import MemberTable
 from fuchsiaspool.controllers.placement import Placement, estimate_delay
+from fuchsiaspool.controllers.retries import RetryRatio, choose_reserve
 from fuchsiaspool.controllers.returns import Returns
 from fuchsiaspool.controllers.rotation import Rotation
 from fuchsiaspool.controllers.threshold import LearnedThresholds
+from fuchsiaspool.filters.placing import REPEAT_RATIO
 from fuchsiaspool.filters.relaying import learn_beneath, make_relaying
 from fuchsiaspool.filters.shedding import make_shedding
 from fuchsiaspool.ids import NodeId, RouteName, ServiceName
@@ -28,7 +30,7 @@
     UnknownReason,
 )
 from fuchsiaspool.routes import Route, RouteKind, WeightedService
-from fuchsiaspool.sidecar import LEVEL_RISE_PER_SECOND
+from fuchsiaspool.sidecar import LEVEL_RISE_PER_SECOND, REPEATS_AT_ONCE
 
 from .deep_chain import DeepChain
 from .support import make_call, make_member, make_place
@@ -38,6 +40,59 @@
 FULL = NodeLoad(150.0, 10.0, 0.02)
 
 
+class RefusingServersTests(unittest.TestCase):
+    """Servers with room refuse most calls, and each chain needs four of them."""
+
+    CHAINS_A_SECOND = 60
+    SECONDS = 20
+    REFUSED = 0.55
+
+    def run_chains(self, choose):
+        clock, chance = PausedClock(), random.Random(7)
+        ratio = RetryRatio(clock, REPEATS_AT_ONCE, 0.0)
+        whole = repeats = firsts = 0
+
+        def run():
+            nonlocal whole, repeats, firsts
+            call = make_call(clock)
+            call.nested = call.critical = True
+            for done in range(4):
+                call.done = done
+                ratio.count_first(call.service, REPEAT_RATIO)
+                firsts += 1
+                clock.sleep(0.02)
+                if chance.random() >= self.REFUSED:
+                    continue
+                if not ratio.take(call.service, choose(call)):
+                    return
+                repeats += 1
+                clock.sleep(0.02)
+                if chance.random() < self.REFUSED:
+                    return
+            whole += 1
+
+        for _ in range(self.CHAINS_A_SECOND * self.SECONDS):
+            clock.spawn(run)
+            clock.advance(1.0 / self.CHAINS_A_SECOND)
+        clock.advance(1.0)
+        self.assertLessEqual(repeats, REPEAT_RATIO * firsts + REPEATS_AT_ONCE)
+        return whole
+
+    def test_retries_go_to_the_chains_of_which_most_is_done(self):
+        flat = self.run_chains(lambda call: 0.0)
+        self.assertGreaterEqual(self.run_chains(choose_reserve), 1.4 * flat)
+
+    def test_critical_calls_leave_the_least_to_others(self):
+        for nested in (False, True):
+            for done in range(4):
+                call = make_call(PausedClock())
+                call.nested, call.done = nested, done
+                call.critical = False
+                other = choose_reserve(call)
+                call.critical = True
+                self.assertLess(choose_reserve(call), other)
+
+
 class DeepSaturationTests(unittest.TestCase):
     """A deep service saturates while callers repeat what failed."""
 
