Let deadlines run on while a machine is suspended

Cause: by reading, for the operators' fault of a permission that ran out during a pause: the monotonic clock stands still while a machine is suspended, so a call that was held or queued at a node meanwhile was still sent when it woke, with the time it had before.

--- a/src/fuchsiaspool/clock.py
+++ b/src/fuchsiaspool/clock.py
@@ -80,10 +80,18 @@
         self._event.set()
 
 
+def read_seconds() -> float:
+    """Return steady seconds that go on while the machine is suspended.
+
+    The monotonic clock stands still then: what ran out meanwhile would look good.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class SystemClock:
     """Follow real time under gevent."""
 
-    now = staticmethod(time.monotonic)
+    now = staticmethod(read_seconds)
     wall = staticmethod(time.time)
 
     def sleep(self, seconds: float) -> None:
--- a/src/fuchsiaspool/http/channels.py
+++ b/src/fuchsiaspool/http/channels.py
@@ -1,6 +1,5 @@
 """Read and write one connection with as few system calls as its traffic allows."""
 
-import time
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -8,6 +7,7 @@
 import gevent.socket
 from gevent.hub import Waiter
 
+from ..clock import read_seconds
 from .sockets import Peek, tune_socket
 
 _READ_EVENT: Final = 1
@@ -142,7 +142,7 @@
         if seconds == _NEVER:
             self._until = _NEVER
             return
-        self._until = time.monotonic() + seconds
+        self._until = read_seconds() + seconds
         if self._until < self._check_at:
             self._arm(seconds)
 
@@ -196,7 +196,7 @@
         if self._timer is not None:
             self._timer.stop()
             self._timer.close()
-        self._check_at = time.monotonic() + seconds
+        self._check_at = read_seconds() + seconds
         self._timer = gevent.get_hub().loop.timer(max(0.0, seconds))
         self._timer.start(self._check)
 
@@ -204,7 +204,7 @@
         self._check_at = _NEVER
         if self._until == _NEVER:
             return
-        left = self._until - time.monotonic()
+        left = self._until - read_seconds()
         if left > 0:
             self._arm(left)
             return
--- a/src/fuchsiaspool/http/client.py
+++ b/src/fuchsiaspool/http/client.py
@@ -1,6 +1,5 @@
 """Send calls over kept-alive connections and tag how each ended."""
 
-import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any, Final
@@ -10,7 +9,7 @@
 from ..addresses import Address
 from ..bodies import BUFFER_BYTES, Body, BodyError, Headers
 from ..calls import Call
-from ..clock import Clock
+from ..clock import Clock, read_seconds
 from ..outcomes import Answered, NotRun, NotRunReason, Outcome, Unknown, UnknownReason
 from .channels import Channel
 from .messages import (
@@ -68,7 +67,7 @@
 
 
 class Connection:
-    """Hold one connection and its reader; moments in monotonic seconds."""
+    """Hold one connection and its reader; moments in steady seconds."""
 
     __slots__ = ("channel", "reader", "expires", "used")
 
@@ -104,7 +103,7 @@
     def take(self, address: Address, repeatable: bool = False) -> Connection | None:
         """Return a fresh idle connection for a call, if there is one."""
         idle = self._idle.get(address)
-        now = time.monotonic()
+        now = read_seconds()
         fresh_since = now - FRESH_SECONDS if repeatable else now
         while idle:
             connection = idle.pop()
@@ -128,7 +127,7 @@
     ) -> None:
         """Keep a connection for the next call, for so long at most."""
         idle = self._idle.setdefault(address, [])
-        now = time.monotonic()
+        now = read_seconds()
         connection.expires = now + idle_seconds
         connection.used = now
         # The oldest are used last: close those that have expired unused.
