--- a/src/fuchsiaspool/configuration.py
+++ b/src/fuchsiaspool/configuration.py
@@ -24,6 +24,9 @@
 # A node that starts gives its peers this long to hand over what is in force, of the
 # second in which it has to serve again; and looks this often if they have.
 PEERS_SECONDS: Final = 0.8
+# As long again it waits to know of anybody: nodes that start together for the first time
+# find each other in the store with their second look at it.
+ALONE_SECONDS: Final = 1.0
 LOOK_SECONDS: Final = 0.05
 # Pauses between questions to a platform that does not answer.
 FIRST_PAUSE_SECONDS: Final = 0.4
@@ -107,9 +110,13 @@
     def _await_peers(self) -> None:
         # Where many start at once the watchers read, and hand it to the others. One
         # that knows of nobody yet can't tell who is to watch.
+        alone = ALONE_SECONDS
         left = PEERS_SECONDS * self._chance.uniform(0.7, 1.3)
         while left > 0 and self._keeper.revision == 0:
             self._clock.sleep(LOOK_SECONDS)
+            if self._duty.count_nodes() <= 1 and alone > 0:
+                alone -= LOOK_SECONDS
+                continue
             left -= LOOK_SECONDS
             if self._duty.count_nodes() > 1 and self._duty.is_watcher():
                 return
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -33,7 +33,8 @@
 class Fleet:
     """Run the watches of many nodes against one store that counts calls."""
 
-    def __init__(self, count, watchers):
+    def __init__(self, count, watchers, known_at=0.0):
+        self.known_at = known_at
         self.clock = PausedClock()
         self.chance = random.Random(1)
         self.store = ObjectStore()
@@ -49,14 +50,18 @@
                 PATH,
                 self.keepers[node],
                 WatchDuty(
-                    lambda node=node: node in self.watchers,
-                    lambda: count,
+                    lambda node=node: self.is_watcher(node),
+                    lambda: count if self.clock.now() >= self.known_at else 1,
                     lambda node=node: self.tell(node),
                 ),
                 self.chance,
             )
             self.clock.spawn(watch.loop)
 
+    def is_watcher(self, node):
+        # Whoever knows of nobody takes itself for the only one.
+        return node in self.watchers or self.clock.now() < self.known_at
+
     def tell(self, node):
         def reach():
             for keeper in self.keepers:
@@ -102,8 +107,8 @@
 
 
 class FleetTests(unittest.TestCase):
-    def start(self, count, watchers=(0, 1)):
-        fleet = Fleet(count, watchers)
+    def start(self, count, watchers=(0, 1), **fields):
+        fleet = Fleet(count, watchers, **fields)
         fleet.accept()
         return fleet
 
@@ -140,6 +145,17 @@
         self.assertEqual(fleet.count_current(), 195)
         self.assertEqual(fleet.calls["list"], 2)
 
+    def test_nodes_that_start_for_the_first_time_find_each_other_before_they_read(self):
+        fleet = self.start(195, known_at=0.7)
+        fleet.clock.advance(2.0)
+        self.assertEqual(fleet.count_current(), 195)
+        self.assertEqual(fleet.calls["list"], 2)
+
+    def test_a_node_that_is_alone_reads_for_itself(self):
+        fleet = self.start(1, watchers=(), known_at=100.0)
+        fleet.clock.advance(3.0)
+        self.assertEqual(fleet.count_current(), 1)
+
     def test_where_no_watcher_can_read_the_others_do_within_a_second(self):
         fleet = self.start(195)
         fleet.down |= {0, 1}
