--- a/src/fuchsiaspool/configuration.py
+++ b/src/fuchsiaspool/configuration.py
@@ -24,8 +24,8 @@
 # A node that starts gives its peers this long to hand over what is in force, of the
 # second in which it has to serve again; and looks this often if they have.
 PEERS_SECONDS: Final = 0.8
-# As long again it waits to know of anybody: nodes that start together for the first time
-# find each other in the store with their second look at it.
+# So long it waits to know of anybody at all: nodes that start together for the first
+# time find each other in the store with their second look at it.
 ALONE_SECONDS: Final = 1.0
 LOOK_SECONDS: Final = 0.05
 # Pauses between questions to a platform that does not answer.
