Keep no list of the tasks that wait to remove dead members

Cause: by reading: each death added a task to a list that only a stop empties. Change: such a task is not kept, as it ends within half a minute by itself.

--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -497,7 +497,8 @@
             self.placement.forget(member.node)
             self.pool.forget(member.mesh_address)
             if member.data_centre == self.options.place.data_centre:
-                self._spawn(self.registry.remove_dead, member.node)
+                # It ends by itself, so it is not among the tasks that a stop ends.
+                gevent.spawn(self.registry.remove_dead, member.node)
         elif member.state is MemberState.ALIVE:
             self.placement.welcome(member.node)
 
