Log and count what servers state about limits and leaving

Cause: neither logs nor metrics told arrivals by server, nor whether a server names a limit, so the three hypotheses of the incident could not be told apart. Change: answers are read for a limit and for leaving; a line on each change with the requests since the last, three metrics. Nothing decides by it yet.

--- a/src/fuchsiaspool/http_interface.py
+++ b/src/fuchsiaspool/http_interface.py
@@ -5,6 +5,7 @@
 
 from .bodies import Headers
 from .outcomes import NotRun
+from .server_notices import AnswerNotice
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,9 +34,14 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpInterface:
-    """Describe the header names and rules towards callers and servers."""
+    """Describe the header names and rules towards callers and servers.
+
+    `read_notice` returns what an answer states about its server, `None` if it can't be
+    read.
+    """
 
     header_names: HeaderNames
     filter_request_headers: Callable[[Headers], Headers]
     filter_answer_headers: Callable[[Headers], Headers]
     format_retry_after: Callable[[NotRun], bytes]
+    read_notice: Callable[[Headers], AnswerNotice | None]
--- a/src/fuchsiaspool/metrics.py
+++ b/src/fuchsiaspool/metrics.py
@@ -5,6 +5,7 @@
 from .controllers.admission import Admission
 from .controllers.counters import OutcomeCounters
 from .controllers.histograms import Histograms, Measure
+from .controllers.server_notices import LocalServerNotices
 from .ids import Revision
 
 # Percentiles reported for each latency histogram.
@@ -16,14 +17,19 @@
     revision: Revision,
     counters: OutcomeCounters,
     histograms: Histograms,
+    notices: LocalServerNotices,
 ) -> str:
     """Return the local server's load and the outcomes of calls that originate here."""
     lines = [
         f"in_flight {admission.in_flight}",
         f"queued {admission.queued}",
         f"limit {admission.limit.value:.1f}",
+        f"server_requests {notices.requests}",
+        f"server_leaving {int(notices.leaving)}",
         f"log_configuration_revision {revision}",
     ]
+    if notices.limit is not None:
+        lines.append(f"server_limit {notices.limit:g}")
     for name, counts in sorted(counters.counts_by_class.items()):
         lines.append(f'answered{{class="{name}"}} {counts.answered}')
         lines.append(f'failed{{class="{name}"}} {counts.failed}')
--- a/src/fuchsiaspool/platform/wire.py
+++ b/src/fuchsiaspool/platform/wire.py
@@ -13,6 +13,10 @@
 NOT_EXECUTED_HEADER: Final = b"fuchsiaspool-not-executed"
 CALLING_SERVICE_HEADER: Final = b"fuchsiaspool-calling-service"
 INSTANCE_ID_HEADER: Final = b"fuchsiaspool-instance-id"
+LIMIT_HEADER: Final = b"server-limit"
+LEAVING_HEADER: Final = b"server-leaving"
+
+LEAVING_VALUE: Final = b"1"
 
 READINESS_PATH: Final = "/-/readiness"
 INSTANCE_PATH: Final = "/-/instances/<instance>"
--- a/src/fuchsiaspool/platform_dispatch.py
+++ b/src/fuchsiaspool/platform_dispatch.py
@@ -9,10 +9,11 @@
 from .clock import Clock
 from .controllers.backend_server import BackendServer, ServerState
 from .controllers.contexts import CallContexts
+from .controllers.server_notices import LocalServerNotices
 from .http.client import SendCall
 from .http.messages import Head, find_header
 from .http_interface import HttpInterface
-from .ids import Token
+from .ids import InstanceId, Token
 from .outcomes import Answered, NotRun, NotRunReason, Outcome, Unknown, UnknownReason
 
 _LOG = logging.getLogger(__name__)
@@ -28,6 +29,7 @@
     interface: HttpInterface,
     contexts: CallContexts,
     send: SendCall,
+    notices: LocalServerNotices,
 ) -> CallHandler:
     """Return the handler at the end of the inbound chain."""
     names = interface.header_names
@@ -49,15 +51,25 @@
 
         token = Token(call.attempt)
         context = contexts.register(token, call)
+        notices.count_request()
+        sent_at = clock.now()
         try:
             outcome = send(current.address, call, make_headers)
         finally:
             contexts.close(token)
         if isinstance(outcome, Answered):
+            learn_notice(outcome, current.instance, sent_at)
             outcome = classify_answer(outcome)
         outcome.threshold = min(outcome.threshold, context.threshold)
         return outcome
 
+    def learn_notice(answer: Answered, instance: InstanceId, sent_at: float) -> None:
+        if answer.status == _MISDIRECTED_STATUS:
+            return
+        notice = interface.read_notice(answer.headers)
+        if notice is not None:
+            notices.observe(instance, notice, sent_at)
+
     def classify_answer(answer: Answered) -> Outcome:
         if answer.status == _MISDIRECTED_STATUS:
             return NotRun(NotRunReason.WRONG_NODE, "another server has the address")
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -31,6 +31,7 @@
 from .controllers.registry import LONG_LEASE_TIMES, Registry
 from .controllers.resends import ResendSchedule
 from .controllers.retries import RetryBudget
+from .controllers.server_notices import LocalServerNotices
 from .controllers.settings import SettingsReplica
 from .controllers.threshold import LearnedThresholds
 from .controllers.token_bucket import TokenBucket
@@ -157,6 +158,7 @@
         self.counters = OutcomeCounters()
         self.members = MemberTable()
         self.server = BackendServer(options.place.service, options.server)
+        self.notices = LocalServerNotices(self.clock, self.server)
         self._build_peers()
         self._build_chains()
         self._build_listeners()
@@ -218,6 +220,7 @@
                 interface,
                 self.contexts,
                 make_call_sender(self.pool, clock, server_exchange_rules),
+                self.notices,
             ),
         )
         self._probe = make_health_probe(
@@ -591,6 +594,7 @@
             self.settings_replica.revision,
             self.counters,
             self.histograms,
+            self.notices,
         )
 
 
