--- /dev/null
+++ b/tests/test_server_notices.py
@@ -0,0 +1,96 @@
+"""Test that nodes keep to what backend servers state in their answers."""
+
+import functools
+
+import gevent
+
+from fuchsiaspool.sidecar import Sidecar
+
+from .sidecar_case import SIGNATURE_HEADER_LINE, ReceivedRequest, SidecarTestCase
+
+LIMIT_PER_SECOND = 5
+WINDOW_SECONDS = 4.0
+# A server that names a limit has to get no more than this in any window.
+MAX_REQUESTS_PER_WINDOW = 1.5 * LIMIT_PER_SECOND * WINDOW_SECONDS + 5
+LIMIT_HEADER_LINE = b"Server-Limit: %d\r\n" % LIMIT_PER_SECOND
+LEAVING_HEADER_LINE = b"Server-Leaving: 1\r\n"
+
+
+def make_script(line):
+    return functools.partial(ReceivedRequest.answer, extra=SIGNATURE_HEADER_LINE + line)
+
+
+class ServerNoticeTests(SidecarTestCase):
+    def send_many(self, count, path="/read/x", node=None, pause=0.02):
+        """Send requests one after another, without waiting; return their statuses."""
+        tasks = []
+        for _ in range(count):
+            tasks.append(gevent.spawn(self.send_request, path, node=node))
+            gevent.sleep(pause)
+        return [task.get().status for task in tasks]
+
+    def restart_deep_node(self):
+        self.deep.abort()
+        # The kept connections lead to handlers of the aborted node.
+        self.http.clear()
+        self.deep = Sidecar(self.deep.options)
+        self.deep.start()
+        self.addCleanup(self.deep.abort)
+        self.await_condition(lambda: self.send_heartbeat(self.deep) == 200)
+        self.await_condition(lambda: self.deep.members.count_live() > 1)
+        self.await_condition(lambda: self.edge.members.list_service("quota"))
+
+    def test_server_gets_more_than_the_limit_it_names(self):
+        self.start_pair(make_script(LIMIT_HEADER_LINE))
+        statuses = self.send_many(2 * int(MAX_REQUESTS_PER_WINDOW))
+        self.assertLessEqual(len(self.server.requests), MAX_REQUESTS_PER_WINDOW)
+        self.assertEqual(set(statuses), {200, 503})
+        self.assertEqual(statuses.count(200), len(self.server.requests))
+
+    def test_nested_calls_exceed_the_limit_that_a_server_names(self):
+        def call_quota(request):
+            attempt = request.headers["fuchsiaspool-attempt-id"]
+            for number in range(20):
+                self.send_request(
+                    node=self.edge, Fuchsiaspool_Attempt_Id=f"{attempt}.c{number}"
+                )
+            return request.answer()
+
+        self.start_pair(make_script(LIMIT_HEADER_LINE))
+        self.other.script = call_quota
+        self.send_heartbeat(self.edge)
+        self.await_condition(lambda: self.deep.members.list_service("registry"))
+        self.send_many(5, "/front/1", self.deep)
+        self.assertLessEqual(len(self.server.requests), MAX_REQUESTS_PER_WINDOW)
+
+    def test_restart_of_a_node_forgets_the_limit_of_its_server(self):
+        self.start_pair(make_script(LIMIT_HEADER_LINE))
+        self.send_many(10)
+        self.restart_deep_node()
+        # This server answers so late that its answers can't tell the limit in time.
+        self.server.script = lambda request: gevent.sleep(1.0)
+        self.send_many(2 * int(MAX_REQUESTS_PER_WINDOW))
+        self.assertLessEqual(len(self.server.requests), MAX_REQUESTS_PER_WINDOW)
+
+    def test_server_that_says_it_leaves_gets_new_requests(self):
+        self.start_pair(make_script(LEAVING_HEADER_LINE))
+        self.assertEqual(self.send_request().status, 200)
+        self.assertEqual(self.send_request().status, 503)
+        # Heartbeats of a server that leaves may go on saying that it is ready.
+        self.send_heartbeat(self.deep, sequence=2)
+        self.assertEqual(self.send_request().status, 503)
+        self.assertEqual(len(self.server.requests), 1)
+
+    def test_restart_of_a_node_forgets_that_its_server_leaves(self):
+        self.start_pair(make_script(LEAVING_HEADER_LINE))
+        self.assertEqual(self.send_request().status, 200)
+        self.restart_deep_node()
+        self.assertEqual(self.send_request().status, 503)
+        self.assertEqual(len(self.server.requests), 1)
+
+    def test_server_restarted_under_its_id_gets_requests_again(self):
+        self.start_pair(make_script(LEAVING_HEADER_LINE))
+        self.assertEqual(self.send_request().status, 200)
+        self.server.script = ReceivedRequest.answer
+        self.send_heartbeat(self.deep, born=200)
+        self.await_condition(lambda: self.send_request().status == 200)
