Keep to the limit that a server names

What callers saw: nothing; a server in need got two to three times what it asked for. Cause: nothing that a server states in its answers entered admission or placement; both know slots, queues and failures only. The class of fault: a bound on a sum over nodes that no place where the sum is known enforces. Change: admission at the server's own node, which all calls pass, counts them in a token bucket at the named rate. A call that can go to a server without a limit is refused at once and placed there; where all servers name limits it queues by class, and is refused at once if its turn comes too late. Nodes leave an interval between attempts that is adjusted until attempts are 1.25 times what the server takes. In virtual time: nobody is refused while two of six servers have room; with all limited 1.0 of critical calls are served.

--- a/src/fuchsiaspool/calls.py
+++ b/src/fuchsiaspool/calls.py
@@ -62,8 +62,9 @@
     request that the caller sent again, and `classified` a call whose rank is set.
     `done` counts the calls that succeeded for the same request before this one.
     `soft_deadline` is the time until which an answer is worth most; `max_attempts`
-    bounds the servers that the call may be sent to; `trail` lists the nodes that it
-    was sent to and the outcomes. Times are in monotonic seconds, except
+    bounds the servers that the call may be sent to; `has_alternative` means that a
+    server that names no limit could take the call instead; `trail` lists the nodes that
+    it was sent to and the outcomes. Times are in monotonic seconds, except
     `expires_unix_seconds`, which is in seconds since the Unix epoch.
     """
 
@@ -96,6 +97,7 @@
     is_retry: bool = False
     soft_deadline: float = 0.0
     max_attempts: int = 1
+    has_alternative: bool = False
     trail: list[str] = field(default_factory=list)
     cancellation: Cancellation = field(default_factory=Cancellation)
     completion_callbacks: list[Callable[[bool], None]] = field(default_factory=list)
--- a/src/fuchsiaspool/controllers/admission.py
+++ b/src/fuchsiaspool/controllers/admission.py
@@ -6,14 +6,21 @@
 from sortedcontainers import SortedList
 
 from ..calls import Call
-from ..clock import Clock, Waiter
+from ..clock import Clock, Timer, Waiter
 from ..outcomes import NO_THRESHOLD, NotRun, NotRunReason
 from .advertised_threshold import AdvertisedThreshold
 from .concurrency_limit import ConcurrencyLimit
+from .rate_limit import RateLimit
 from .threshold import SheddingThreshold
 
 MAX_QUEUED_CALLS_PER_SLOT: Final = 4
 MIN_QUEUE_CAPACITY_CALLS: Final = 16
+# Calls that may queue at a server that names a rate before the advertised threshold
+# falls, as the wait for one call is long there; the wait that they may cause at most.
+RATE_TARGET_CALLS: Final = 4.0
+MAX_RATE_TARGET_SECONDS: Final = 0.25
+# A shorter wait may be lost in the rounding of the time.
+MIN_RATE_TIMER_SECONDS: Final = 0.001
 _SERVICE_TIME_EWMA_WEIGHT: Final = 0.1
 
 # Class; nested calls first; number of calls of the caller, if critical; deadline of
@@ -54,12 +61,15 @@
         learns_limit: bool = True,
     ) -> None:
         self.limit = ConcurrencyLimit(clock, slots)
+        self.rate_limit = RateLimit(clock)
         self.in_flight = 0
         self.shedding_threshold = SheddingThreshold(clock, queue_delay_target)
         self.advertised_threshold = AdvertisedThreshold(clock, queue_delay_target)
         self._learns_limit = learns_limit
         self._clock = clock
+        self._queue_delay_target = queue_delay_target
         self._max_queue_wait = max_queue_wait
+        self._rate_timer: Timer | None = None
         self._queue: SortedList[_QueuedCall] = SortedList(
             key=lambda entry: entry.sort_key
         )
@@ -89,7 +99,11 @@
     @property
     def has_free_slot(self) -> bool:
         """Return whether a call would be admitted immediately."""
-        return self.in_flight + 1 <= self.limit.value and not self._queue
+        return self._may_admit and not self._queue
+
+    @property
+    def _may_admit(self) -> bool:
+        return self.in_flight + 1 <= self.limit.value and self.rate_limit.available
 
     def configure(
         self, slots: int, queue_delay_target: float, max_queue_wait: float
@@ -100,8 +114,22 @@
         self._max_queue_wait = max_queue_wait
         self._admit_waiting()
 
+    def set_rate(self, limit: float | None) -> None:
+        """Apply the requests a second that the server takes, `None` for no limit."""
+        self.rate_limit.set_rate(limit)
+        target = self._queue_delay_target
+        rate = self.rate_limit.rate
+        if rate is not None:
+            by_rate = min(MAX_RATE_TARGET_SECONDS, RATE_TARGET_CALLS / rate)
+            target = max(target, by_rate)
+        self.advertised_threshold.set_target(target)
+        self._admit_waiting()
+
     def acquire(self, call: Call) -> NotRun | None:
         """Wait for a slot; return a rejection if none becomes free in time."""
+        self.rate_limit.record_attempt()
+        if call.has_alternative and not self.rate_limit.available:
+            return NotRun(NotRunReason.RATE_LIMITED)
         if not self._learns_limit:
             # The queue order decides here; the threshold tells entrance nodes which
             # calls not to send.
@@ -149,12 +177,19 @@
 
     def _estimate_queue_wait(self, queued: int) -> float:
         ahead = self.in_flight + queued + 1 - self.limit.value
-        return float(max(0.0, ahead) * self._mean_service_seconds / self.limit.value)
+        wait = max(0.0, ahead) * self._mean_service_seconds / self.limit.value
+        return max(float(wait), self.rate_limit.estimate_wait(queued))
 
     def _wait_for_slot(self, call: Call) -> NotRun | None:
         timeout = call.deadline - self._clock.now() - self._mean_service_seconds
         if timeout <= 0:
             return self._make_rejection(NotRunReason.DEADLINE)
+        # Critical calls may wait until their deadline, others only `_max_queue_wait`.
+        timeout_reason = NotRunReason.DEADLINE
+        if not call.critical and self._max_queue_wait < timeout:
+            timeout, timeout_reason = self._max_queue_wait, NotRunReason.SHED
+        if self.rate_limit.rate is not None and self._estimate_wait(call) > timeout:
+            return self._make_rejection(timeout_reason)
         entry = _QueuedCall(self._make_sort_key(call), call, self._clock.make_waiter())
         if not self._ensure_queue_capacity(entry):
             return self._make_rejection(NotRunReason.QUEUE_FULL)
@@ -163,10 +198,7 @@
         remove_action = call.cancellation.add(
             lambda: self._reject_queued(entry, NotRunReason.CANCELLED)
         )
-        # Critical calls may wait until their deadline, others only `_max_queue_wait`.
-        timeout_reason = NotRunReason.DEADLINE
-        if not call.critical and self._max_queue_wait < timeout:
-            timeout, timeout_reason = self._max_queue_wait, NotRunReason.SHED
+        self._schedule_admission()
         entry.waiter.wait(timeout)
         remove_action()
         if entry.admitted:
@@ -209,7 +241,7 @@
         entry.waiter.notify()
 
     def _admit_waiting(self) -> None:
-        while self._queue and self.in_flight + 1 <= self.limit.value:
+        while self._queue and self._may_admit:
             entry: _QueuedCall = self._queue[0]
             if self._clock.now() + self._mean_service_seconds > entry.call.deadline:
                 self._reject_queued(entry, NotRunReason.DEADLINE)
@@ -221,9 +253,22 @@
             entry.waiter.notify()
         if not self._queue:
             self.shedding_threshold.mark_drained()
+        self._schedule_admission()
+
+    def _schedule_admission(self) -> None:
+        """Admit the next call once the rate permits; a release admits sooner calls."""
+        if self._rate_timer is not None or not self._queue or self.rate_limit.available:
+            return
+        seconds = max(MIN_RATE_TIMER_SECONDS, self.rate_limit.estimate_wait(0))
+        self._rate_timer = self._clock.call_later(seconds, self._handle_rate_timer)
+
+    def _handle_rate_timer(self) -> None:
+        self._rate_timer = None
+        self._admit_waiting()
 
     def _admit(self, call: Call) -> None:
         self.in_flight += 1
+        self.rate_limit.take()
         self._count_caller(call)
 
     def _count_caller(self, call: Call) -> None:
--- a/src/fuchsiaspool/controllers/placement.py
+++ b/src/fuchsiaspool/controllers/placement.py
@@ -55,6 +55,9 @@
 IN_FLIGHT_HALF_LIFE_SECONDS: Final = 0.5
 # The same for the reported service time, which changes more slowly.
 SERVICE_TIME_HALF_LIFE_SECONDS: Final = 2.0
+# Range of the factor on the interval between attempts, so that nodes do not try in
+# step.
+ATTEMPT_INTERVAL_JITTER: Final = (0.5, 1.5)
 BASE_EJECTION_SECONDS: Final = 0.5
 MAX_EJECTION_DOUBLINGS: Final = 3
 SERVER_ERROR_STATUS: Final = 500
@@ -87,6 +90,7 @@
     failure_share_at: float = float("-inf")
     ejections: int = 0
     ejected_until: float = float("-inf")
+    next_attempt_at: float = float("-inf")
 
     def estimate_in_flight(self, now: float) -> float:
         """Estimate the calls there: its last report, decayed, and those sent since."""
@@ -141,12 +145,20 @@
         self._stats: dict[NodeId, _NodeStats] = {}
         self._subsets: dict[ServiceName, tuple[tuple[Member, ...], list[Member]]] = {}
 
-    def choose(self, call: Call, excluded: Set[NodeId]) -> Member | NotRunReason:
-        """Return the node for the next attempt, or the reason for having none."""
+    def choose(
+        self, call: Call, excluded: Set[NodeId], avoid_limited: bool = False
+    ) -> Member | NotRunReason:
+        """Return the node for the next attempt, or the reason for having none.
+
+        Servers that name a limit get as many attempts as they ask for, none with
+        `avoid_limited`, unless no other server is left. Sets `call.has_alternative`.
+        """
         now = self._clock.now()
         bound = least = float("inf")
         costs: list[tuple[float, Member]] = []
         ejected: list[Member] = []
+        limited: list[tuple[Member, _NodeStats]] = []
+        unlimited = 0
         reason = NotRunReason.NO_SERVER
         for member in self._list_subset(call.service):
             if member.node in excluded:
@@ -155,29 +167,48 @@
             if stats.ejected_until > now:
                 ejected.append(member)
                 continue
+            names_limit = self._find_load(member).rate is not None
+            if names_limit:
+                limited.append((member, stats))
+                if avoid_limited or stats.next_attempt_at > now:
+                    continue
+            else:
+                unlimited += 1
             # The nearest come first: for most others the round trip alone costs more.
             if stats.round_trip + stats.surcharge > bound:
                 continue
             if stats.cross_region and self._link.tokens <= 0:
                 reason = NotRunReason.LINK_BUDGET
                 continue
-            cost = self._estimate_cost(member, stats, now)
+            # A server that names a limit lets no call wait that can go elsewhere.
+            cost = self._estimate_cost(member, stats, now, waits=not names_limit)
             costs.append((cost, member))
             if cost < least:
                 least = cost
                 bound = least + max(SIMILAR_COST_SECONDS, least * SIMILAR_COST_SHARE)
+        if limited and not unlimited:
+            costs = [(self._estimate_cost(m, stats, now), m) for m, stats in limited]
+            least = min(cost for cost, _ in costs)
+            bound = least + max(SIMILAR_COST_SECONDS, least * SIMILAR_COST_SHARE)
         if not costs:
             # A node that failed recently is better than none.
             return self._rng.choice(ejected) if ejected else reason
         candidates = [member for cost, member in costs if cost <= bound]
-        if len(candidates) == 1:
-            return candidates[0]
         weights = [max(1.0, self._find_load(member).room) for member in candidates]
-        return self._rng.choices(candidates, weights)[0]
+        chosen = self._rng.choices(candidates, weights)[0]
+        unlimited -= self._find_load(chosen).rate is None
+        call.has_alternative = unlimited > 0
+        return chosen
 
     def begin_attempt(self, member: Member) -> None:
         """Count an attempt as in flight."""
-        self._get_stats(member).in_flight += 1
+        stats = self._get_stats(member)
+        stats.in_flight += 1
+        load = self._find_load(member)
+        if load.attempt_interval:
+            stats.next_attempt_at = self._clock.now() + (
+                load.attempt_interval * self._rng.uniform(*ATTEMPT_INTERVAL_JITTER)
+            )
 
     def end_attempt(self, member: Member, outcome: Outcome, seconds: float) -> None:
         """Record the outcome of an attempt."""
@@ -229,8 +260,12 @@
             stats.ejected_until = float("-inf")
             stats.ejections = 0
 
-    def _estimate_cost(self, member: Member, stats: _NodeStats, now: float) -> float:
-        if member.node == self._location.node:
+    def _estimate_cost(
+        self, member: Member, stats: _NodeStats, now: float, waits: bool = True
+    ) -> float:
+        if not waits:
+            cost = stats.round_trip + stats.load.seconds * SERVICE_TIME_SHARE
+        elif member.node == self._location.node:
             load = self._find_local_load()
             cost = estimate_delay(load, load.busy)
         else:
--- a/src/fuchsiaspool/controllers/server_notices.py
+++ b/src/fuchsiaspool/controllers/server_notices.py
@@ -1,6 +1,7 @@
 """Track what the local backend server states about itself in its answers."""
 
 import logging
+from collections.abc import Callable
 
 from ..clock import Clock
 from ..ids import InstanceId
@@ -13,12 +14,18 @@
 class LocalServerNotices:
     """Keep the newest statement of the present start of the server."""
 
-    def __init__(self, clock: Clock, server: BackendServer) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        server: BackendServer,
+        apply_limit: Callable[[float | None], None],
+    ) -> None:
         self.requests = 0
         self.limit: float | None = None
         self.leaving = False
         self._clock = clock
         self._server = server
+        self._apply_limit = apply_limit
         self._instance = InstanceId("")
         self._stated_at = clock.now()
         self._requests_before = 0
@@ -48,15 +55,22 @@
                 self._stated_at = self._clock.now()
             return
         self._log_change(limit, leaving)
-        self.limit, self.leaving = limit, leaving
+        self.leaving = leaving
         self._stated_at = self._clock.now()
+        self._set_limit(limit)
 
     def _handle_server_change(self) -> None:
         current = self._server.current
         if current is None or current.instance == self._instance:
             return
         self._instance = current.instance
-        self.limit, self.leaving = None, False
+        self.leaving = False
+        self._set_limit(None)
+
+    def _set_limit(self, limit: float | None) -> None:
+        if limit != self.limit:
+            self.limit = limit
+            self._apply_limit(limit)
 
     def _log_change(self, limit: float | None, leaving: bool) -> None:
         seconds = self._clock.now() - self._stated_at
--- a/src/fuchsiaspool/filters/placement.py
+++ b/src/fuchsiaspool/filters/placement.py
@@ -28,6 +28,7 @@
         NotRunReason.WRONG_NODE,
         NotRunReason.QUEUE_FULL,
         NotRunReason.SHED,
+        NotRunReason.RATE_LIMITED,
     )
 )
 
@@ -49,7 +50,7 @@
         outcome: Outcome | None = None
         last_unknown: Unknown | None = None
         while True:
-            chosen = placement.choose(call, tried_nodes)
+            chosen = placement.choose(call, tried_nodes, _is_rate_limited(outcome))
             if isinstance(chosen, NotRunReason):
                 return last_unknown or outcome or NotRun(chosen)
             reserve = compute_reserve(call)
@@ -96,6 +97,12 @@
             return call.idempotent and outcome.reason is not UnknownReason.CANCELLED
 
 
+def _is_rate_limited(outcome: Outcome | None) -> bool:
+    if not isinstance(outcome, NotRun):
+        return False
+    return outcome.reason is NotRunReason.RATE_LIMITED
+
+
 def _reached_server(outcome: Outcome | None) -> bool:
     if outcome is None:
         return False
--- a/src/fuchsiaspool/filters/retry_after.py
+++ b/src/fuchsiaspool/filters/retry_after.py
@@ -16,6 +16,7 @@
         NotRunReason.QUEUE_FULL,
         NotRunReason.DEADLINE,
         NotRunReason.SERVER_REFUSED,
+        NotRunReason.RATE_LIMITED,
     )
 )
 
--- a/src/fuchsiaspool/mesh.py
+++ b/src/fuchsiaspool/mesh.py
@@ -49,6 +49,7 @@
     nested: bool = False
     operation: OperationName = OperationName("")
     is_retry: bool = False
+    has_alternative: bool = False
 
 
 class MeshOutcome(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
@@ -87,6 +88,7 @@
             call.nested,
             call.operation,
             call.is_retry,
+            call.has_alternative,
         )
     )
 
@@ -236,6 +238,7 @@
     call.nested = context.nested
     call.operation = context.operation
     call.is_retry = context.is_retry
+    call.has_alternative = context.has_alternative
     return call
 
 
--- a/src/fuchsiaspool/outcomes.py
+++ b/src/fuchsiaspool/outcomes.py
@@ -20,6 +20,7 @@
     LEAVING = "leaving"
     CONNECT_FAILED = "connect-failed"
     SERVER_REFUSED = "server-refused"
+    RATE_LIMITED = "rate-limited"
     NO_SERVER = "no-server"
     LINK_BUDGET = "link-budget"
     UNKNOWN_SERVICE = "unknown-service"
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -158,7 +158,9 @@
         self.counters = OutcomeCounters()
         self.members = MemberTable()
         self.server = BackendServer(options.place.service, options.server)
-        self.notices = LocalServerNotices(self.clock, self.server)
+        self.notices = LocalServerNotices(
+            self.clock, self.server, lambda limit: self.admission.set_rate(limit)
+        )
         self._build_peers()
         self._build_chains()
         self._build_listeners()
@@ -581,10 +583,17 @@
     def find_load(self) -> NodeLoad:
         """Return the load of the local server."""
         admission = self.admission
+        rate_limit = admission.rate_limit
+        seconds = admission.mean_service_seconds or DEFAULT_SERVICE_SECONDS
+        room = admission.limit.value
+        if rate_limit.rate is not None:
+            room = min(room, rate_limit.rate * seconds)
         return NodeLoad(
             float(admission.in_flight + admission.queued),
-            admission.limit.value,
-            admission.mean_service_seconds or DEFAULT_SERVICE_SECONDS,
+            room,
+            seconds,
+            rate_limit.rate,
+            rate_limit.attempt_interval,
         )
 
     def format_metrics(self) -> str:
