Send nothing more to a server that says in its answers that it leaves

What callers saw: requests went on to a server that was about to end, until its heartbeat or its departure said so; some servers' heartbeats never do. Cause: only heartbeats changed a server's state, and a later heartbeat that says ready would undo it. Change: an answer's statement drains that start of the server for good, identified by instance and start time; a start found by a probe has no start time yet, so its first heartbeat counts as the same start if it began before the statement.

--- a/src/fuchsiaspool/controllers/backend_server.py
+++ b/src/fuchsiaspool/controllers/backend_server.py
@@ -2,16 +2,17 @@
 
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
-from typing import Final
+from typing import Final, TypeVar
 
 from ..addresses import Address
 from ..ids import InstanceId, ServiceName
 
+_T = TypeVar("_T")
 _LOG = logging.getLogger(__name__)
-# Ended starts that are remembered, so that a late report does not revive them.
-MAX_ENDED_STARTS: Final = 64
+# Ended and leaving starts that are remembered, so that a report does not revive them.
+MAX_REMEMBERED_STARTS: Final = 64
 
 
 class ServerState(Enum):
@@ -52,6 +53,8 @@
         self._service = service
         self._address = address
         self._ended: dict[tuple[InstanceId, int], None] = {}
+        # By start, the Unix milliseconds at which it was known to leave.
+        self._leaving: dict[tuple[InstanceId, int], float] = {}
         self._latest_born = 0
         self._listeners: list[Callable[[], None]] = []
 
@@ -78,11 +81,36 @@
         ):
             self._log_ignored(report, "older than what is known")
             return False
+        if self._is_leaving(report):
+            report = replace(report, state=ServerState.DRAINING)
         if known is not None and not _is_same_start(report, known):
             self._record_end(known.instance, known.born)
         self._set_current(report)
         return True
 
+    def mark_leaving(self, instance: InstanceId, born: int, unix_ms: float) -> None:
+        """Drain the present start for good, if it is this one; `born` 0 if unknown.
+
+        Heartbeats of a server that leaves may still say that it is ready. `unix_ms` is
+        the time now in Unix milliseconds.
+        """
+        known = self.current
+        if known is None or known.instance != instance:
+            return
+        if known.born and born != known.born:
+            return
+        _remember(self._leaving, (instance, born), unix_ms)
+        if known.state is ServerState.READY or born != known.born:
+            self._set_current(replace(known, state=ServerState.DRAINING, born=born))
+
+    def _is_leaving(self, report: ServerReport) -> bool:
+        if (report.instance, report.born) in self._leaving:
+            return True
+        # Before the first heartbeat the start time is unknown. A start later than the
+        # moment at which the server was known to leave is another one.
+        known_at = self._leaving.get((report.instance, 0))
+        return known_at is not None and report.born <= known_at
+
     def handle_departure(self, instance: InstanceId, born: int) -> None:
         """Record that a start of the server has ended; `born` is 0 if unknown."""
         known = self.current
@@ -120,9 +148,7 @@
             listener()
 
     def _record_end(self, instance: InstanceId, born: int) -> None:
-        self._ended[(instance, born)] = None
-        while len(self._ended) > MAX_ENDED_STARTS:
-            del self._ended[next(iter(self._ended))]
+        _remember(self._ended, (instance, born), None)
 
     def _log_ignored(self, report: ServerReport, reason: str) -> None:
         _LOG.info(
@@ -136,6 +162,14 @@
         )
 
 
+def _remember(
+    starts: dict[tuple[InstanceId, int], _T], start: tuple[InstanceId, int], value: _T
+) -> None:
+    starts[start] = value
+    while len(starts) > MAX_REMEMBERED_STARTS:
+        del starts[next(iter(starts))]
+
+
 def _is_same_start(left: ServerReport, right: ServerReport) -> bool:
     return left.instance == right.instance and left.born == right.born
 
--- a/src/fuchsiaspool/controllers/server_notices.py
+++ b/src/fuchsiaspool/controllers/server_notices.py
@@ -2,17 +2,21 @@
 
 import logging
 from collections.abc import Callable
+from typing import Final
 
 from ..clock import Clock
-from ..ids import InstanceId
 from ..server_notices import AnswerNotice
-from .backend_server import BackendServer
+from .backend_server import BackendServer, ServerReport, ServerState
 
 _LOG = logging.getLogger(__name__)
+_MILLISECONDS_PER_SECOND: Final = 1000.0
 
 
 class LocalServerNotices:
-    """Keep the newest statement of the present start of the server."""
+    """Keep the newest statement of the present start of the server.
+
+    `apply_limit` gets each limit in requests a second, `None` when it is withdrawn.
+    """
 
     def __init__(
         self,
@@ -22,67 +26,81 @@
     ) -> None:
         self.requests = 0
         self.limit: float | None = None
-        self.leaving = False
         self._clock = clock
         self._server = server
         self._apply_limit = apply_limit
-        self._instance = InstanceId("")
+        self._start: ServerReport | None = None
         self._stated_at = clock.now()
         self._requests_before = 0
         server.add_listener(self._handle_server_change)
 
+    @property
+    def leaving(self) -> bool:
+        """Return whether the server takes no new work."""
+        return self._server.state is ServerState.DRAINING
+
     def count_request(self) -> None:
         """Count a request that is sent to the server."""
         self.requests += 1
 
     def observe(
-        self, instance: InstanceId, notice: AnswerNotice, sent_at: float
+        self, start: ServerReport, notice: AnswerNotice, sent_at: float
     ) -> None:
-        """Record the statement of an answer to a request sent at `sent_at`.
+        """Record the statement of an answer to a request sent to a start at `sent_at`.
 
-        An answer to a request that was sent before the present statement was made
-        does not withdraw it.
+        An answer to a request that was sent before the present limit was stated does
+        not withdraw it.
         """
         current = self._server.current
-        if current is None or current.instance != instance:
-            return
-        limit = notice.limit
-        if limit is None and sent_at < self._stated_at:
-            limit = self.limit
-        leaving = self.leaving or notice.leaving
-        if limit == self.limit and leaving == self.leaving:
-            if notice.limit is not None:
-                self._stated_at = self._clock.now()
+        if current is None or not _is_same_start(start, current):
             return
-        self._log_change(limit, leaving)
-        self.leaving = leaving
-        self._stated_at = self._clock.now()
-        self._set_limit(limit)
+        if notice.limit is not None or sent_at >= self._stated_at:
+            self._set_limit(notice.limit)
+        if notice.leaving and not self.leaving:
+            self._mark_leaving(current)
+
+    def _mark_leaving(self, start: ServerReport) -> None:
+        unix_ms = self._clock.wall() * _MILLISECONDS_PER_SECOND
+        self._server.mark_leaving(start.instance, start.born, unix_ms)
+        self._log(self.limit)
 
     def _handle_server_change(self) -> None:
-        current = self._server.current
-        if current is None or current.instance == self._instance:
+        current, previous = self._server.current, self._start
+        if current is None:
             return
-        self._instance = current.instance
-        self.leaving = False
-        self._set_limit(None)
+        self._start = current
+        if previous is None or not _continues(previous, current):
+            self._set_limit(None)
 
     def _set_limit(self, limit: float | None) -> None:
-        if limit != self.limit:
-            self.limit = limit
+        previous, self.limit = self.limit, limit
+        if limit != previous:
+            self._log(previous)
             self._apply_limit(limit)
+        if limit != previous or limit is not None:
+            self._stated_at = self._clock.now()
 
-    def _log_change(self, limit: float | None, leaving: bool) -> None:
-        seconds = self._clock.now() - self._stated_at
+    def _log(self, previous_limit: float | None) -> None:
         _LOG.info(
             "server notice",
             extra={
-                "instance": self._instance,
-                "limit": limit,
-                "limit_before": self.limit,
-                "leaving": leaving,
+                "instance": self._start.instance if self._start else "",
+                "limit": self.limit,
+                "limit_before": previous_limit,
+                "leaving": self.leaving,
                 "requests": self.requests - self._requests_before,
-                "seconds": round(seconds, 2),
+                "seconds": round(self._clock.now() - self._stated_at, 2),
             },
         )
         self._requests_before = self.requests
+
+
+def _is_same_start(left: ServerReport, right: ServerReport) -> bool:
+    return left.instance == right.instance and left.born == right.born
+
+
+def _continues(previous: ServerReport, current: ServerReport) -> bool:
+    # A start that a probe has found gets its start time from its first heartbeat.
+    if previous.instance != current.instance:
+        return False
+    return previous.born in (0, current.born)
--- a/src/fuchsiaspool/platform_dispatch.py
+++ b/src/fuchsiaspool/platform_dispatch.py
@@ -7,13 +7,13 @@
 from .bodies import Headers
 from .calls import Call, CallHandler
 from .clock import Clock
-from .controllers.backend_server import BackendServer, ServerState
+from .controllers.backend_server import BackendServer, ServerReport, ServerState
 from .controllers.contexts import CallContexts
 from .controllers.server_notices import LocalServerNotices
 from .http.client import SendCall
 from .http.messages import Head, find_header
 from .http_interface import HttpInterface
-from .ids import InstanceId, Token
+from .ids import Token
 from .outcomes import Answered, NotRun, NotRunReason, Outcome, Unknown, UnknownReason
 
 _LOG = logging.getLogger(__name__)
@@ -58,17 +58,22 @@
         finally:
             contexts.close(token)
         if isinstance(outcome, Answered):
-            learn_notice(outcome, current.instance, sent_at)
+            learn_notice(outcome, current, sent_at)
             outcome = classify_answer(outcome)
         outcome.threshold = min(outcome.threshold, context.threshold)
         return outcome
 
-    def learn_notice(answer: Answered, instance: InstanceId, sent_at: float) -> None:
+    def learn_notice(answer: Answered, start: ServerReport, sent_at: float) -> None:
         if answer.status == _MISDIRECTED_STATUS:
             return
         notice = interface.read_notice(answer.headers)
-        if notice is not None:
-            notices.observe(instance, notice, sent_at)
+        if notice is not None and (notice.is_stated or is_by_server(answer)):
+            notices.observe(start, notice, sent_at)
+
+    def is_by_server(answer: Answered) -> bool:
+        # Bytes that a faulty server sends withdraw nothing.
+        found = (names.signature, names.not_executed)
+        return any(find_header(answer.headers, name) is not None for name in found)
 
     def classify_answer(answer: Answered) -> Outcome:
         if answer.status == _MISDIRECTED_STATUS:
--- a/src/fuchsiaspool/server_notices.py
+++ b/src/fuchsiaspool/server_notices.py
@@ -18,6 +18,11 @@
     limit: float | None = None
     leaving: bool = False
 
+    @property
+    def is_stated(self) -> bool:
+        """Return whether the answer states anything."""
+        return self.leaving or self.limit is not None
+
 
 class ServerNotice(msgspec.Struct, frozen=True, array_like=True):
     """Tell another node what one start of a backend server has stated.
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -74,3 +74,34 @@
         for born, sequence in order:
             server.handle_report(make_report(sequence, f"i-{born}", born))
         self.assertEqual((server.current.born, server.current.sequence), (200, 3))
+
+
+class LeavingServerTests(unittest.TestCase):
+    def setUp(self):
+        self.server = BackendServer(QUOTA, ADDRESS)
+
+    def test_heartbeat_revives_a_server_that_said_it_leaves(self):
+        self.server.handle_report(make_report(1))
+        self.server.mark_leaving(InstanceId("i-1"), 100, 5000.0)
+        self.server.handle_report(make_report(2))
+        self.assertIs(self.server.state, ServerState.DRAINING)
+
+    def test_first_heartbeat_revives_a_server_found_by_a_probe(self):
+        self.server.handle_report(make_report(0, born=0))
+        self.server.mark_leaving(InstanceId("i-1"), 0, 5000.0)
+        self.server.handle_report(make_report(1, born=4900))
+        self.assertIs(self.server.state, ServerState.DRAINING)
+
+    def test_later_start_under_the_same_id_is_taken_for_the_leaving_one(self):
+        for known_born in (0, 100):
+            server = BackendServer(QUOTA, ADDRESS)
+            server.handle_report(make_report(1, born=known_born))
+            server.mark_leaving(InstanceId("i-1"), known_born, 5000.0)
+            server.handle_report(make_report(1, born=5100))
+            self.assertIs(server.state, ServerState.READY)
+
+    def test_statement_of_an_ended_start_drains_the_present_one(self):
+        self.server.handle_report(make_report(1, born=200))
+        self.server.mark_leaving(InstanceId("i-1"), 100, 5000.0)
+        self.server.mark_leaving(InstanceId("i-0"), 200, 5000.0)
+        self.assertIs(self.server.state, ServerState.READY)
