Keep what a server stated when its restarted node does not know it yet

What callers saw: nothing yet; found by reading. A node that had restarted and had no heartbeat answered a call with no notice, and the calling node then forgot that the server leaves. Cause: no notice meant both that the server states nothing and that nothing is known. Change: only an answer of the server itself withdraws a limit; a statement of leaving is about one start and is never withdrawn. A call's mark that it can go elsewhere no longer outlives the choice it was made for. Evidence: test_node_without_a_server_yet_makes_others_forget_a_notice fails without the change in mesh.py and peer_notices.py, and passes.

--- a/src/fuchsiaspool/controllers/peer_notices.py
+++ b/src/fuchsiaspool/controllers/peer_notices.py
@@ -22,9 +22,15 @@
         self._notices: OrderedDict[NodeId, ServerNotice] = OrderedDict()
 
     def learn(self, node: NodeId, notice: ServerNotice | None) -> None:
-        """Replace the notice about a node's server, `None` if it states nothing."""
+        """Record what the answer of a node's server states, `None` for nothing.
+
+        A server that leaves does so for good; a notice about a start that has ended
+        does no harm, as it names that start.
+        """
         if notice is None:
-            self._notices.pop(node, None)
+            known = self._notices.get(node)
+            if known is not None and not known.leaving:
+                del self._notices[node]
             return
         self._notices[node] = notice
         self._notices.move_to_end(node)
--- a/src/fuchsiaspool/controllers/placement.py
+++ b/src/fuchsiaspool/controllers/placement.py
@@ -154,6 +154,7 @@
         `avoid_limited`, unless no other server is left. Sets `call.has_alternative`.
         """
         now = self._clock.now()
+        call.has_alternative = False
         bound = least = float("inf")
         costs: list[tuple[float, Member]] = []
         ejected: list[Member] = []
@@ -167,7 +168,7 @@
             if stats.ejected_until > now:
                 ejected.append(member)
                 continue
-            names_limit = self._find_load(member).rate is not None
+            names_limit = self._get_load(member, stats).rate is not None
             if names_limit:
                 limited.append((member, stats))
                 if avoid_limited or stats.next_attempt_at > now:
@@ -194,9 +195,14 @@
             # A node that failed recently is better than none.
             return self._rng.choice(ejected) if ejected else reason
         candidates = [member for cost, member in costs if cost <= bound]
-        weights = [max(1.0, self._find_load(member).room) for member in candidates]
-        chosen = self._rng.choices(candidates, weights)[0]
-        unlimited -= self._find_load(chosen).rate is None
+        chosen = candidates[0]
+        if len(candidates) > 1:
+            weights = [max(1.0, self._find_load(member).room) for member in candidates]
+            chosen = self._rng.choices(candidates, weights)[0]
+        if limited:
+            unlimited -= self._find_load(chosen).rate is None
+        else:
+            unlimited -= 1
         call.has_alternative = unlimited > 0
         return chosen
 
@@ -204,7 +210,7 @@
         """Count an attempt as in flight."""
         stats = self._get_stats(member)
         stats.in_flight += 1
-        load = self._find_load(member)
+        load = self._get_load(member, stats)
         if load.attempt_interval:
             stats.next_attempt_at = self._clock.now() + (
                 load.attempt_interval * self._rng.uniform(*ATTEMPT_INTERVAL_JITTER)
@@ -279,9 +285,12 @@
         )
 
     def _find_load(self, member: Member) -> NodeLoad:
+        return self._get_load(member, self._get_stats(member))
+
+    def _get_load(self, member: Member, stats: _NodeStats) -> NodeLoad:
         if member.node == self._location.node:
             return self._find_local_load()
-        return self._get_stats(member).load
+        return stats.load
 
     def _get_stats(self, member: Member) -> _NodeStats:
         stats = self._stats.get(member.node)
--- a/src/fuchsiaspool/controllers/rate_limit.py
+++ b/src/fuchsiaspool/controllers/rate_limit.py
@@ -57,9 +57,7 @@
             self._bucket.charge(capacity)
             self._attempts, self._window_start = 0, self._clock.now()
         else:
-            # Reading the tokens settles them at the old rate.
-            _ = self._bucket.tokens
-            self._bucket.rate, self._bucket.capacity = rate, capacity
+            self._bucket.configure(rate, capacity)
         self.rate = rate
 
     def take(self) -> None:
--- a/src/fuchsiaspool/controllers/token_bucket.py
+++ b/src/fuchsiaspool/controllers/token_bucket.py
@@ -22,6 +22,12 @@
         self._updated_at = now
         return self._tokens
 
+    def configure(self, rate: float, capacity: float) -> None:
+        """Change rate and capacity; the tokens until now come at the old rate."""
+        tokens = self.tokens
+        self.rate, self.capacity = rate, capacity
+        self._tokens = min(capacity, tokens)
+
     def take(self, amount: float) -> bool:
         """Take an amount if it is available and return whether it was."""
         if self.tokens < amount:
--- a/src/fuchsiaspool/mesh.py
+++ b/src/fuchsiaspool/mesh.py
@@ -35,6 +35,7 @@
 
 CONTEXT_HEADER: Final = b"fuchsiaspool-mesh"
 OUTCOME_HEADER: Final = b"fuchsiaspool-outcome"
+ANSWERED_TAG: Final = "answered"
 _MILLISECONDS_PER_SECOND: Final = 1000.0
 
 
@@ -139,7 +140,7 @@
     match outcome:
         case Answered():
             encoded = MeshOutcome(
-                "answered",
+                ANSWERED_TAG,
                 retries_spent,
                 threshold,
                 load=load,
@@ -252,7 +253,9 @@
         reported = decode_outcome(outcome)
         if reported is None:
             return Unknown(UnknownReason.BAD_ANSWER, "answer without outcome header")
-        notices.learn(member.node, reported.notice)
+        # Without an answer of the server, a node that restarts may know nothing yet.
+        if reported.notice is not None or reported.tag == ANSWERED_TAG:
+            notices.learn(member.node, reported.notice)
         if reported.load is not None:
             learn_load(member, reported.load, clock.now() - started - reported.held)
         call.retry_allowance.reclaim(lent_retries, reported.retries_spent)
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -460,7 +460,7 @@
         result = merge_options(self.options, options)
         self.options = result.options
         self.retry_budget.configure(_compute_retry_slack_rate(self.options))
-        self.link.rate = self.link.capacity = self.options.link_rate
+        self.link.configure(self.options.link_rate, self.options.link_rate)
         _LOG.info(
             "settings reloaded",
             extra={"taken": result.taken, "at_next_start": result.held},
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -14,8 +14,10 @@
 from fuchsiaspool.options import read_platform_options
 from fuchsiaspool.platform.configuration import CONFIGURATION_PATH, build_routes
 from fuchsiaspool.platform.heartbeats import parse_departure, parse_heartbeat
+from fuchsiaspool.platform.interface import PLATFORM_INTERFACE
 from fuchsiaspool.results import Err, Ok
 from fuchsiaspool.routes import RouteKind
+from fuchsiaspool.server_notices import AnswerNotice
 
 ROOT = Path(__file__).parents[1]
 HEARTBEAT = {
@@ -150,3 +152,28 @@
         for path in (ROOT / "src/fuchsiaspool").rglob("*.py"):
             if "platform" not in path.parts:
                 self.assertIsNone(names.search(path.read_text()), path)
+
+
+class AnswerNoticeTests(unittest.TestCase):
+    read = staticmethod(PLATFORM_INTERFACE.read_notice)
+
+    def test_reads_limits_and_leaving(self):
+        for headers, expected in (
+            ([], AnswerNotice()),
+            ([(b"server-limit", b"8.5")], AnswerNotice(8.5)),
+            ([(b"server-limit", b"0")], AnswerNotice(0.0)),
+            ([(b"server-leaving", b"1")], AnswerNotice(leaving=True)),
+            ([(b"server-leaving", b"0")], AnswerNotice()),
+        ):
+            with self.subTest(headers):
+                self.assertEqual(self.read(headers), expected)
+
+    def test_unreadable_limit_is_taken_for_none(self):
+        for value in (b"", b"many", b"-1", b"nan", b"inf", b"1e999", b"\xff"):
+            with self.subTest(value):
+                self.assertIsNone(self.read([(b"server-limit", value)]))
+
+    @given(st.binary(max_size=20))
+    def test_arbitrary_values_raise(self, value):
+        notice = self.read([(b"server-limit", value), (b"server-leaving", value)])
+        self.assertTrue(notice is None or notice.limit >= 0.0)
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -4,9 +4,11 @@
 import functools
 
 import gevent
+import msgspec
 import urllib3
 
-from fuchsiaspool.sidecar import Sidecar
+from fuchsiaspool.member_records import MemberState
+from fuchsiaspool.sidecar import NodeState, Sidecar
 
 from .sidecar_case import SIGNATURE_HEADER_LINE, ReceivedRequest, SidecarTestCase
 
@@ -31,13 +33,16 @@
             gevent.sleep(pause)
         return [task.get().status for task in tasks]
 
-    def restart_deep_node(self):
+    def restart_deep_node(self, send_heartbeat=True):
         self.deep.abort()
         # The kept connections lead to handlers of the aborted node.
         self.http.clear()
         self.deep = Sidecar(self.deep.options)
         self.deep.start()
         self.addCleanup(self.deep.abort)
+        if not send_heartbeat:
+            self.await_condition(lambda: self.deep.state is NodeState.READY)
+            return
         self.await_condition(lambda: self.send_heartbeat(self.deep, slots=200) == 200)
         self.await_condition(lambda: self.deep.members.count_live() > 1)
         self.await_condition(lambda: self.edge.members.list_service("quota"))
@@ -91,6 +96,26 @@
         self.assertEqual(self.send_request().status, 503)
         self.assertEqual(len(self.server.requests), 1)
 
+    def test_node_without_a_server_yet_makes_others_forget_a_notice(self):
+        self.start_pair(make_script(LEAVING_HEADER_LINE))
+        self.assertEqual(self.send_request().status, 200)
+        known = self.deep.server.current
+        # A call that was on its way meets a restarted node that has no heartbeat yet.
+        member = self.edge.members.find("deep")
+        self.restart_deep_node(send_heartbeat=False)
+        self.edge.members.merge(
+            msgspec.structs.replace(
+                self.edge.members.find("deep"),
+                state=MemberState.ALIVE,
+                incarnation=member.incarnation + 1_000_000,
+            )
+        )
+        self.assertEqual(self.send_request().status, 503)
+        self.send_heartbeat(self.deep, born=known.born)
+        self.await_condition(lambda: self.edge.members.list_service("quota"))
+        self.assertEqual(self.send_request().status, 503)
+        self.assertEqual(len(self.server.requests), 1)
+
     def test_server_restarted_under_its_id_gets_requests_again(self):
         self.start_pair(make_script(LEAVING_HEADER_LINE))
         self.assertEqual(self.send_request().status, 200)
