--- a/tests/soak.py
+++ b/tests/soak.py
@@ -24,6 +24,7 @@
 
 import gevent
 import urllib3
+from gevent.pool import Group
 from gevent.server import StreamServer
 
 from fuchsiaspool.addresses import Address
@@ -196,6 +197,7 @@
         self.told_limit, self.told_leaving = {}, {}
         self.answers = defaultdict(int)
         self.broken = []
+        self.tasks = Group()
         self.platform = PlatformStandin(Address("127.0.0.1", 0))
         self.platform.start()
         store = make_platform_store(self.platform.address, SystemClock(), self.rng)
@@ -323,17 +325,17 @@
             kind = self.rng.randrange(9)
             if kind < 3 and not machine.is_busy:
                 how = (signal.SIGTERM, signal.SIGKILL, signal.SIGTERM)[kind]
-                gevent.spawn(self.restart_node, machine, how)
+                self.tasks.spawn(self.restart_node, machine, how)
             elif kind == 3 and not machine.is_busy:
-                gevent.spawn(self.pause_node, machine)
+                self.tasks.spawn(self.pause_node, machine)
             elif kind == 4 and not machine.is_busy:
                 machine.node_process.send_signal(signal.SIGHUP)
             elif kind in (5, 6):
-                gevent.spawn(self.name_limit, machine)
+                self.tasks.spawn(self.name_limit, machine)
             elif kind == 7 and not machine.current.leaving:
-                gevent.spawn(self.replace_server, machine)
+                self.tasks.spawn(self.replace_server, machine)
             elif kind == 8:
-                gevent.spawn(
+                self.tasks.spawn(
                     self.rng.choice((self.fail_store, self.change_configuration))
                 )
 
@@ -342,17 +344,14 @@
         try:
             for machine in self.machines:
                 machine.start_node()
-                gevent.spawn(machine.beat)
+                self.tasks.spawn(machine.beat)
             gevent.sleep(START_SECONDS * min(1.0, 0.3 + len(self.machines) / 60))
-            clients = [
-                gevent.spawn(self.run_client, machine)
-                for machine in self.machines
-                for _ in range(CLIENTS_PER_NODE)
-            ]
+            for machine in self.machines * CLIENTS_PER_NODE:
+                self.tasks.spawn(self.run_client, machine)
             self.inject_faults(self.now() + seconds)
             gevent.sleep(1.0)
-            gevent.killall(clients)
         finally:
+            self.tasks.kill()
             for machine in self.machines:
                 machine.kill()
                 machine.listener.stop(timeout=0)
