Take a server that the link's budget excludes for no alternative

What callers saw: nothing yet; found by reading. With the link between regions used up, a call was told that it could go to a distant server, was refused by the near one that names a limit, and ended as not run although it could have queued there. Cause: alternatives were counted before the check of the link. Change: the link is checked first, once a choice. Evidence: test_unreachable_server_counts_as_an_alternative fails without the change and passes.

--- a/src/fuchsiaspool/controllers/placement.py
+++ b/src/fuchsiaspool/controllers/placement.py
@@ -155,6 +155,7 @@
         """
         now = self._clock.now()
         call.has_alternative = False
+        link_open = self._link.tokens > 0
         bound = least = float("inf")
         costs: list[tuple[float, Member]] = []
         ejected: list[Member] = []
@@ -168,6 +169,9 @@
             if stats.ejected_until > now:
                 ejected.append(member)
                 continue
+            if stats.cross_region and not link_open:
+                reason = NotRunReason.LINK_BUDGET
+                continue
             names_limit = self._get_load(member, stats).rate is not None
             if names_limit:
                 limited.append((member, stats))
@@ -178,9 +182,6 @@
             # The nearest come first: for most others the round trip alone costs more.
             if stats.round_trip + stats.surcharge > bound:
                 continue
-            if stats.cross_region and self._link.tokens <= 0:
-                reason = NotRunReason.LINK_BUDGET
-                continue
             # A server that names a limit lets no call wait that can go elsewhere.
             cost = self._estimate_cost(member, stats, now, waits=not names_limit)
             costs.append((cost, member))
--- a/tests/test_load_decisions.py
+++ b/tests/test_load_decisions.py
@@ -327,6 +327,18 @@
         self.placement.update_load(self.nearby, NodeLoad(12.0, 10.0, 0.02), 0.001)
         self.assertEqual(self.choose(), self.nearby)
 
+    def test_unreachable_server_counts_as_an_alternative(self):
+        limited = NodeLoad(1.0, 1.0, 0.02, rate=5.0)
+        self.placement.update_load(self.nearby, limited, 0.001)
+        self.assertEqual(self.choose(), self.nearby)
+        self.assertTrue(self.call.has_alternative)
+        self.link.charge(2000.0)
+        self.assertEqual(self.choose(), self.nearby)
+        self.assertFalse(self.call.has_alternative)
+        self.clock.advance(5.0)
+        self.assertEqual(self.choose("far"), self.nearby)
+        self.assertFalse(self.call.has_alternative)
+
     def test_the_link_between_regions_is_not_overdrawn(self):
         self.placement.update_load(self.nearby, FULL, 0.001)
         self.link.charge(2000.0)
