Head the lines of explain by their node where the log has no prefix

What operators saw: lines headed by the name of the log file, and a note that a node's log is missing although it is there. Cause: a conditional expression bound wider than meant: without a prefix the node was not read. Change: the fallback is chosen first. Evidence: the new test failed before and passes.

--- a/src/fuchsiaspool/commands/stories.py
+++ b/src/fuchsiaspool/commands/stories.py
@@ -57,10 +57,9 @@
         time, message = float(fields["time"]), str(fields["message"])
     except (msgspec.DecodeError, KeyError, ValueError, TypeError):
         return None
-    line_source = str(
-        fields.get("node") or prefix.split()[-1] if prefix.split() else source
-    )
-    return LogLine(time, line_source, message, fields)
+    # A collector puts the node's name last in what it writes before each line.
+    fallback = prefix.split()[-1] if prefix.split() else source
+    return LogLine(time, str(fields.get("node") or fallback), message, fields)
 
 
 def find_request_lines(files: Iterable[LogFileContent], request: str) -> list[LogLine]:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -59,6 +59,13 @@
         text = "   8.04 deep-1 " + json.dumps(LINES[1])
         self.assertEqual(len(self.explain("r1", text)[1]), 1)
 
+    def test_lines_without_prefix_are_headed_by_the_file_instead_of_their_node(self):
+        _, lines, errors = self.explain("r1", json.dumps(LINES[0]))
+        self.assertTrue(lines[0].startswith("2.000 edge: "), lines[0])
+        _, lines, errors = self.explain("r1", *(json.dumps(line) for line in LINES))
+        self.assertNotIn("deep: was sent the call", errors)
+        self.assertIn("gone: was sent the call", errors)
+
     def test_explain_reports_an_unknown_request(self):
         code, lines, errors = self.explain("r9", json.dumps(LINES[0]))
         self.assertEqual((code, lines), (ExitCode.DIFFERENT, []))
