Let admission report its load itself

The node, and the fleet that replays named limits, built the report from admission's parts in the same way; one method now does. No behaviour changes.

--- a/src/fuchsiaspool/controllers/admission.py
+++ b/src/fuchsiaspool/controllers/admission.py
@@ -7,12 +7,15 @@
 
 from ..calls import Call
 from ..clock import Clock, Timer, Waiter
+from ..node_load import NodeLoad
 from ..outcomes import NO_THRESHOLD, NotRun, NotRunReason
 from .advertised_threshold import AdvertisedThreshold
 from .concurrency_limit import ConcurrencyLimit
 from .rate_limit import RateLimit
 from .threshold import SheddingThreshold
 
+# Until the first calls have ended.
+DEFAULT_SERVICE_SECONDS: Final = 0.05
 MAX_QUEUED_CALLS_PER_SLOT: Final = 4
 MIN_QUEUE_CAPACITY_CALLS: Final = 16
 # Calls that may queue at a server that names a rate before the advertised threshold
@@ -96,6 +99,16 @@
         """Return the mean service time of the server, in seconds."""
         return self._mean_service_seconds
 
+    def find_load(self) -> NodeLoad:
+        """Return the load of the server, for nodes that place calls."""
+        seconds = self._mean_service_seconds or DEFAULT_SERVICE_SECONDS
+        room = self.limit.value
+        rate = self.rate_limit.rate
+        if rate is not None:
+            room = min(room, rate * seconds)
+        busy = float(self.in_flight + self.queued)
+        return NodeLoad(busy, room, seconds, rate, self.rate_limit.attempt_interval)
+
     @property
     def has_free_slot(self) -> bool:
         """Return whether a call would be admitted immediately."""
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -107,7 +107,6 @@
 CONCURRENCY_LIMIT_SHARE: Final = 0.95
 QUEUE_TARGET_SECONDS: Final = 0.03
 MAX_QUEUE_WAIT_SECONDS: Final = 0.5
-DEFAULT_SERVICE_SECONDS: Final = 0.05
 # Rise of a learned shedding threshold until the next report of it. It is slower than
 # the rise of the threshold at the server's node, which probes for free concurrency.
 THRESHOLD_RISE_PER_SECOND: Final = 0.3
@@ -586,19 +585,7 @@
 
     def find_load(self) -> NodeLoad:
         """Return the load of the local server."""
-        admission = self.admission
-        rate_limit = admission.rate_limit
-        seconds = admission.mean_service_seconds or DEFAULT_SERVICE_SECONDS
-        room = admission.limit.value
-        if rate_limit.rate is not None:
-            room = min(room, rate_limit.rate * seconds)
-        return NodeLoad(
-            float(admission.in_flight + admission.queued),
-            room,
-            seconds,
-            rate_limit.rate,
-            rate_limit.attempt_interval,
-        )
+        return self.admission.find_load()
 
     def format_metrics(self) -> str:
         """Return counters and latencies as text, one value per line."""
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -80,16 +80,6 @@
             default=0,
         )
 
-    def _find_load(self, node):
-        admission = self._admissions[node]
-        limit = admission.rate_limit
-        seconds = admission.mean_service_seconds or 0.05
-        room = admission.limit.value
-        if limit.rate is not None:
-            room = min(room, limit.rate * seconds)
-        busy = float(admission.in_flight + admission.queued)
-        return NodeLoad(busy, room, seconds, limit.rate, limit.attempt_interval)
-
     def _make_inbound(self, node):
         def serve(call):
             self.arrivals[node].append(self.clock.now())
@@ -115,7 +105,9 @@
             outcome = self._inbound[member.node](call)
             self.clock.sleep(ONE_WAY_SECONDS)
             placement.update_load(
-                member, self._find_load(member.node), 2 * ONE_WAY_SECONDS
+                member,
+                self._admissions[member.node].find_load(),
+                2 * ONE_WAY_SECONDS,
             )
             return outcome
 
