Refresh the loop's time before a test starts a timer

Cause: the test's timer counts from the loop's last turn, and after long work without one it fires at once, before the call is sent; product code starts timers from within the loop, which refreshes the time. The test was wrong, the check stays as it is.

--- a/tests/test_failure_points.py
+++ b/tests/test_failure_points.py
@@ -147,6 +147,8 @@
         call = make_call(self.clock)
         send = make_call_sender(self.pool, self.clock)
         step = make_local_dispatch(self.clock, server.address, send, CallContexts("t"))
+        # The loop's time is that of its last turn, which may be long ago in a test.
+        gevent.get_hub().loop.update_now()
         gevent.spawn_later(0.05, call.cancellation.cancel)
         outcome = step(call)
         self.assertEqual(outcome.reason, UnknownReason.CANCELLED)
