--- a/tests/deep_chain.py
+++ b/tests/deep_chain.py
@@ -126,13 +126,6 @@
             )
         )
 
-    def _find_load(self, node):
-        admission = self._admissions[node]
-        in_flight = float(admission.in_flight + admission.queued)
-        return NodeLoad(
-            in_flight, admission.limit.value, admission.mean_service_seconds or 0.05
-        )
-
     def _make_inbound(self, node):
         def serve(call):
             kind = next((k for k in KINDS if k.name == call.operation), None)
@@ -178,7 +171,7 @@
             self.clock.sleep(ONE_WAY_SECONDS)
             elapsed = self.clock.now() - started
             placement.update_load(
-                member, self._find_load(member.node), elapsed - elapsed
+                member, self._admissions[member.node].find_load(), elapsed - elapsed
             )
             return outcome
 
