Log an unreadable limit once, and read the rest of its answer

What operators saw: nothing yet; found by reading. A server that names a limit that is no number would have written a line for each answer, and its statement of leaving would have been lost. Cause: the adapter gave up the whole statement, and logged without a bound. Change: the statement says what could not be read; its keeper logs that once for each start, and leaves the last limit in force. Evidence: the two tests on unreadable limits, and unit tests of late answers, starts and merges.

--- a/src/fuchsiaspool/controllers/server_notices.py
+++ b/src/fuchsiaspool/controllers/server_notices.py
@@ -32,6 +32,7 @@
         self._apply_limit = apply_limit
         self._start: ServerReport | None = None
         self._has_answered = False
+        self._logged_unreadable = False
         self._stated_at = clock.now()
         self._requests_before = 0
         server.add_listener(self._handle_server_change)
@@ -73,17 +74,27 @@
         """Record the statement of an answer to a request sent to a start at `sent_at`.
 
         An answer to a request that was sent before the present limit was stated does
-        not withdraw it.
+        not withdraw it, nor does a limit that can't be read.
         """
         current = self._server.current
         if current is None or not _is_same_start(start, current):
             return
         self._has_answered = True
-        if notice.limit is not None or sent_at >= self._stated_at:
+        if notice.unreadable:
+            self._log_unreadable(current, notice.unreadable)
+        elif notice.limit is not None or sent_at >= self._stated_at:
             self._set_limit(notice.limit)
         if notice.leaving and not self.leaving:
             self._mark_leaving(current.instance, current.born)
 
+    def _log_unreadable(self, start: ServerReport, value: str) -> None:
+        # Once for each start, as the header may come with every answer.
+        if self._logged_unreadable:
+            return
+        self._logged_unreadable = True
+        extra = {"instance": start.instance, "value": value}
+        _LOG.warning("unreadable limit", extra=extra)
+
     def _mark_leaving(self, instance: InstanceId, born: int) -> None:
         unix_ms = self._clock.wall() * _MILLISECONDS_PER_SECOND
         self._server.mark_leaving(instance, born, unix_ms)
@@ -95,7 +106,7 @@
             return
         self._start = current
         if previous is None or not _continues(previous, current):
-            self._has_answered = False
+            self._has_answered = self._logged_unreadable = False
             self._set_limit(None)
 
     def _set_limit(self, limit: float | None) -> None:
--- a/src/fuchsiaspool/http_interface.py
+++ b/src/fuchsiaspool/http_interface.py
@@ -36,12 +36,11 @@
 class HttpInterface:
     """Describe the header names and rules towards callers and servers.
 
-    `read_notice` returns what an answer states about its server, `None` if it can't be
-    read.
+    `read_notice` returns what an answer states about its server.
     """
 
     header_names: HeaderNames
     filter_request_headers: Callable[[Headers], Headers]
     filter_answer_headers: Callable[[Headers], Headers]
     format_retry_after: Callable[[NotRun], bytes]
-    read_notice: Callable[[Headers], AnswerNotice | None]
+    read_notice: Callable[[Headers], AnswerNotice]
--- a/src/fuchsiaspool/platform/interface.py
+++ b/src/fuchsiaspool/platform/interface.py
@@ -1,6 +1,5 @@
 """Define the HTTP interface to the platform's callers and servers."""
 
-import logging
 import math
 from typing import Final
 
@@ -24,7 +23,6 @@
     SIGNATURE_HEADER,
 )
 
-_LOG = logging.getLogger(__name__)
 # Sent to a rejected caller if the outcome states no time to retry after.
 DEFAULT_RETRY_AFTER_SECONDS: Final = 0.3
 # Replaced at each hop; the values that a caller sent are dropped.
@@ -51,22 +49,20 @@
     return b"%.3f" % seconds
 
 
-def _read_notice(headers: Headers) -> AnswerNotice | None:
+def _read_notice(headers: Headers) -> AnswerNotice:
     limit: float | None = None
+    unreadable = ""
     leaving = False
     for name, value in headers:
         if name == LIMIT_HEADER:
             limit = _parse_limit(value)
             if limit is None:
-                _LOG.warning(
-                    "unreadable limit", extra={"value": value.decode("latin-1")}
-                )
-                return None
+                unreadable = value.decode("latin-1") or "empty"
         elif name == LEAVING_HEADER:
             leaving = value == LEAVING_VALUE
-    if limit is None and not leaving:
+    if limit is None and not leaving and not unreadable:
         return _EMPTY_NOTICE
-    return AnswerNotice(limit, leaving)
+    return AnswerNotice(limit, leaving, unreadable)
 
 
 def _parse_limit(value: bytes) -> float | None:
--- a/src/fuchsiaspool/platform_dispatch.py
+++ b/src/fuchsiaspool/platform_dispatch.py
@@ -67,7 +67,7 @@
         if answer.status == _MISDIRECTED_STATUS:
             return
         notice = interface.read_notice(answer.headers)
-        if notice is not None and (notice.is_stated or is_by_server(answer)):
+        if notice.is_stated or is_by_server(answer):
             notices.observe(start, notice, sent_at)
 
     def is_by_server(answer: Answered) -> bool:
--- a/src/fuchsiaspool/server_notices.py
+++ b/src/fuchsiaspool/server_notices.py
@@ -13,10 +13,12 @@
 
     `limit` is the requests a second that the server takes from all nodes together,
     `None` if it names no limit; `leaving` means that it takes no new work soon.
+    `unreadable` holds a value that names no limit in any form that is known.
     """
 
     limit: float | None = None
     leaving: bool = False
+    unreadable: str = ""
 
     @property
     def is_stated(self) -> bool:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -9,6 +9,7 @@
 
 import argparse
 import contextlib
+import functools
 import http.client
 import itertools
 import json
@@ -52,9 +53,24 @@
 CLIENTS_PER_NODE = 3
 MAX_CLIENT_PAUSE_SECONDS = 0.12
 FAULT_PAUSES_SECONDS = (0.05, 0.5)
+ADDRESS_NAMES = (
+    "server",
+    "outbound",
+    "inbound",
+    "readiness",
+    "reports",
+    "peers",
+    "metrics",
+)
 SERVICES = ("front", "deep", "deep")
 
 
+@functools.cache
+def allocate_addresses(number):
+    """Return the addresses of a machine, the same for each seed."""
+    return {name: allocate_address() for name in ADDRESS_NAMES}
+
+
 @dataclass
 class ServerStart:
     """Record one start of a server; times in seconds since the soak began."""
@@ -73,13 +89,10 @@
 class Machine:
     """Run a server in this process and the node beside it as a process of its own."""
 
-    names = ("server", "outbound", "inbound", "readiness", "reports", "peers")
-
     def __init__(self, soak, number):
         self.soak, self.number = soak, number
         self.service = SERVICES[number % len(SERVICES)]
-        self.addresses = {name: allocate_address() for name in self.names}
-        self.addresses["metrics"] = allocate_address()
+        self.addresses = allocate_addresses(number)
         self.settings = soak.folder / f"{number}.ini"
         self.log = soak.folder / f"{number}.log"
         self.http = urllib3.PoolManager(retries=False, timeout=1.0)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -171,9 +171,13 @@
     def test_unreadable_limit_is_taken_for_none(self):
         for value in (b"", b"many", b"-1", b"nan", b"inf", b"1e999", b"\xff"):
             with self.subTest(value):
-                self.assertIsNone(self.read([(b"server-limit", value)]))
+                leaving = (b"server-leaving", b"1")
+                notice = self.read([(b"server-limit", value), leaving])
+                self.assertIsNone(notice.limit)
+                self.assertTrue(notice.unreadable)
+                self.assertTrue(notice.leaving)
 
     @given(st.binary(max_size=20))
     def test_arbitrary_values_raise(self, value):
         notice = self.read([(b"server-limit", value), (b"server-leaving", value)])
-        self.assertTrue(notice is None or notice.limit >= 0.0)
+        self.assertTrue(notice.unreadable or notice.limit >= 0.0)
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -2,16 +2,29 @@
 
 import contextlib
 import functools
+import logging
+import unittest
 
 import gevent
 import msgspec
 import urllib3
 
+from fuchsiaspool.addresses import Address
+from fuchsiaspool.clock import VirtualClock
+from fuchsiaspool.controllers.backend_server import (
+    BackendServer,
+    ServerReport,
+    ServerState,
+)
+from fuchsiaspool.controllers.server_notices import LocalServerNotices
+from fuchsiaspool.ids import InstanceId, ServiceName
 from fuchsiaspool.member_records import MemberState
+from fuchsiaspool.server_notices import AnswerNotice, ServerNotice
 from fuchsiaspool.sidecar import NodeState, Sidecar
 
 from .sidecar_case import SIGNATURE_HEADER_LINE, ReceivedRequest, SidecarTestCase
 
+ADDRESS = Address("10.0.0.1", 80)
 LIMIT_PER_SECOND = 5
 WINDOW_SECONDS = 4.0
 # A server that names a limit has to get no more than this in any window.
@@ -122,3 +135,80 @@
         self.server.script = ReceivedRequest.answer
         self.send_heartbeat(self.deep, born=200)
         self.await_condition(lambda: self.send_request().status == 200)
+
+
+class LocalServerNoticesTests(unittest.TestCase):
+    def setUp(self):
+        self.start_node()
+        self.start = self.report(1)
+
+    def start_node(self):
+        self.clock = VirtualClock()
+        self.server = BackendServer(ServiceName("quota"), ADDRESS)
+        self.limits = []
+        self.notices = LocalServerNotices(self.clock, self.server, self.limits.append)
+
+    def report(self, sequence, instance="i-1", born=100):
+        report = ServerReport(
+            InstanceId(instance),
+            ServiceName("quota"),
+            ADDRESS,
+            10,
+            ServerState.READY,
+            sequence,
+            born,
+        )
+        self.server.handle_report(report)
+        return report
+
+    def observe(self, sent_at=None, **fields):
+        if sent_at is None:
+            sent_at = self.clock.now()
+        self.notices.observe(self.start, AnswerNotice(**fields), sent_at)
+
+    def test_answer_that_was_late_withdraws_a_limit(self):
+        sent_at = self.clock.now()
+        self.clock.advance(1.0)
+        self.observe(limit=5.0)
+        self.observe(sent_at)
+        self.assertEqual(self.limits, [5.0])
+        self.clock.advance(0.1)
+        self.observe()
+        self.assertEqual(self.limits, [5.0, None])
+
+    def test_unreadable_limit_withdraws_the_last_one(self):
+        self.observe(limit=5.0)
+        self.clock.advance(1.0)
+        self.observe(unreadable="many")
+        self.assertEqual(self.limits, [5.0])
+
+    def test_unreadable_limits_fill_the_log(self):
+        logging.disable(logging.NOTSET)
+        self.addCleanup(logging.disable, logging.CRITICAL)
+        with self.assertLogs("fuchsiaspool.controllers.server_notices") as logs:
+            for _ in range(100):
+                self.observe(unreadable="many")
+        self.assertEqual(len(logs.records), 1)
+
+    def test_limit_of_an_ended_start_binds_the_next(self):
+        self.observe(limit=5.0)
+        self.report(1, "i-2", 200)
+        self.assertEqual(self.limits, [5.0, None])
+        self.observe(limit=5.0)
+        self.assertIsNone(self.notices.limit)
+
+    def test_first_heartbeat_after_a_probe_withdraws_a_limit(self):
+        self.start_node()
+        self.start = self.report(0, "i-3", 0)
+        self.observe(limit=5.0)
+        self.report(1, "i-3", 300)
+        self.assertEqual(self.notices.limit, 5.0)
+
+    def test_calling_nodes_overrule_what_the_server_answered(self):
+        self.observe()
+        self.notices.merge(ServerNotice(InstanceId("i-1"), 100, 5.0))
+        self.assertIsNone(self.notices.limit)
+        self.notices.merge(ServerNotice(InstanceId("i-1"), 99, None, True))
+        self.assertFalse(self.notices.leaving)
+        self.notices.merge(ServerNotice(InstanceId("i-1"), 100, None, True))
+        self.assertTrue(self.notices.leaving)
