--- a/src/fuchsiaspool/controllers/placement.py
+++ b/src/fuchsiaspool/controllers/placement.py
@@ -124,6 +124,11 @@
     return waiting + SATURATION_COST_SECONDS * utilisation**SATURATION_EXPONENT
 
 
+def _compute_bound(least: float) -> float:
+    """Return up to which cost in seconds a server is as good as the cheapest."""
+    return least + max(SIMILAR_COST_SECONDS, least * SIMILAR_COST_SHARE)
+
+
 class Placement:
     """Choose nodes by expected delay: round trip, service time, queue and failures."""
 
@@ -187,24 +192,18 @@
             costs.append((cost, member))
             if cost < least:
                 least = cost
-                bound = least + max(SIMILAR_COST_SECONDS, least * SIMILAR_COST_SHARE)
+                bound = _compute_bound(least)
         if limited and not unlimited:
             costs = [(self._estimate_cost(m, stats, now), m) for m, stats in limited]
             least = min(cost for cost, _ in costs)
-            bound = least + max(SIMILAR_COST_SECONDS, least * SIMILAR_COST_SHARE)
+            bound = _compute_bound(least)
         if not costs:
             # A node that failed recently is better than none.
             return self._rng.choice(ejected) if ejected else reason
         candidates = [member for cost, member in costs if cost <= bound]
-        chosen = candidates[0]
-        if len(candidates) > 1:
-            weights = [max(1.0, self._find_load(member).room) for member in candidates]
-            chosen = self._rng.choices(candidates, weights)[0]
-        if limited:
-            unlimited -= self._find_load(chosen).rate is None
-        else:
-            unlimited -= 1
-        call.has_alternative = unlimited > 0
+        chosen = self._choose_by_room(candidates)
+        names_limit = bool(limited) and self._find_load(chosen).rate is not None
+        call.has_alternative = unlimited > (0 if names_limit else 1)
         return chosen
 
     def begin_attempt(self, member: Member) -> None:
@@ -267,6 +266,12 @@
             stats.ejected_until = float("-inf")
             stats.ejections = 0
 
+    def _choose_by_room(self, candidates: list[Member]) -> Member:
+        if len(candidates) == 1:
+            return candidates[0]
+        weights = [max(1.0, self._find_load(member).room) for member in candidates]
+        return self._rng.choices(candidates, weights)[0]
+
     def _estimate_cost(
         self, member: Member, stats: _NodeStats, now: float, waits: bool = True
     ) -> float:
