Log the connections that a stop finds and leaves

Cause: the hypotheses on requests lost at a stop differ in which connections are open at the exit, and no log line or metric told.

Change: one line for each listener as it closes (accepted from the kernel's queue, closed as idle, kept with an unread request, open), and the open connections in the line of the stop. No change of what a stop does.

--- a/src/fuchsiaspool/http/server.py
+++ b/src/fuchsiaspool/http/server.py
@@ -62,6 +62,20 @@
 RequestHandler = Callable[[Request], Reply]
 
 
+@dataclass(frozen=True, slots=True)
+class CloseSummary:
+    """Count the connections that a server found when it stopped listening.
+
+    accepted: taken from the kernel's queue at that moment
+    idle: closed, as no request had arrived
+    unread: kept, as a request had arrived but was not read yet
+    """
+
+    accepted: int = 0
+    idle: int = 0
+    unread: int = 0
+
+
 class ErrorBody(msgspec.Struct, frozen=True):
     """Represent the JSON body that reports a not-run or unknown outcome."""
 
@@ -101,6 +115,11 @@
         host, port = self._server.address[:2]
         return Address(host, port)
 
+    @property
+    def open_connections(self) -> int:
+        """Return the number of connections, with and without a request."""
+        return len(self._server.pool)
+
     def disable_keep_alive(self) -> None:
         """Close each connection after its next answer.
 
@@ -109,25 +128,33 @@
         """
         self.stopping = True
 
-    def stop_accepting(self) -> None:
+    def stop_accepting(self) -> CloseSummary:
         """Stop listening and close idle connections; running requests continue."""
         self.stopping = True
         self._server.stop_accepting()
-        self._accept_waiting()
+        accepted = self._accept_waiting()
         self._server.close()
+        idle = unread = 0
         for channel in list(self._idle_channels):
             # A request that has arrived but was not read yet is still served.
-            if channel.peek() is not PeekResult.DATA:
-                self._idle_channels.discard(channel)
-                channel.abort()
-
-    def _accept_waiting(self) -> None:
+            if channel.peek() is PeekResult.DATA:
+                unread += 1
+                continue
+            idle += 1
+            self._idle_channels.discard(channel)
+            channel.abort()
+        return CloseSummary(accepted, idle, unread)
+
+    def _accept_waiting(self) -> int:
         # Closing the listener resets the connections in the kernel's accept queue,
         # even those that have already sent a request.
+        count = 0
         if self._server.closed:
-            return
+            return count
         while (accepted := self._server.do_read()) is not None:
             self._server.do_handle(*accepted)
+            count += 1
+        return count
 
     def kill(self) -> None:
         """Stop listening and close every connection immediately."""
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -434,13 +434,38 @@
             _LOG.error("call cut off", extra={"request": call.request})
         self.state = NodeState.STOPPED
         gevent.killall(self._tasks, block=False)
-        _LOG.info("stopped", extra={"seconds": self.clock.now() - started})
+        _LOG.info(
+            "stopped",
+            extra={
+                "seconds": self.clock.now() - started,
+                "open_connections": self._count_open_connections(),
+            },
+        )
         self.stopped.set()
 
     def close_listeners(self) -> None:
         """Accept no more connections; requests sent already are still answered."""
-        self._inbound_server.stop_accepting()
-        self._outbound_server.stop_accepting()
+        listeners = (
+            ("inbound", self._inbound_server),
+            ("outbound", self._outbound_server),
+        )
+        for name, server in listeners:
+            closed = server.stop_accepting()
+            _LOG.info(
+                "listener closed",
+                extra={
+                    "listener": name,
+                    "accepted": closed.accepted,
+                    "idle": closed.idle,
+                    "unread": closed.unread,
+                    "open_connections": server.open_connections,
+                    "in_flight": len(self._calls_in_flight),
+                },
+            )
+
+    def _count_open_connections(self) -> int:
+        servers = (self._inbound_server, self._outbound_server)
+        return sum(server.open_connections for server in servers)
 
     def abort(self) -> None:
         """Stop at once; calls in flight are cut off."""
