Show by failing tests that a stop loses requests as they arrive

Cause: suspected, hypothesis 1: the stop waits for counted calls only, and a request counts once its handler begins.

Change: a test for each moment in which a request can be met by the closing of the listeners: unread on an open connection, in the kernel's queue, on a connection accepted last, head half read, body half read, and a peer's call.

--- /dev/null
+++ b/tests/test_lost_at_stop.py
@@ -0,0 +1,122 @@
+"""Test that a stop answers requests at each moment of their arrival."""
+
+import gevent
+import gevent.socket
+import msgspec
+from gevent.monkey import get_original
+
+from fuchsiaspool.mesh import CONTEXT_HEADER, MeshContext
+
+from .sidecar_case import ReceivedRequest, SidecarTestCase
+
+BLOCKED_SECONDS = 0.05
+SERVICE_SECONDS = 0.2
+HEAD = (
+    b"POST /read/1 HTTP/1.1\r\nHost: h.example\r\n"
+    b"Fuchsiaspool-Attempt-Id: a1\r\nFuchsiaspool-Deadline-Ms: 900\r\n"
+    b"Content-Length: 4\r\n"
+)
+BODY = b"\r\nbody"
+REQUEST = HEAD + BODY
+
+
+def answer_slowly(request):
+    gevent.sleep(SERVICE_SECONDS)
+    return ReceivedRequest.answer(request)
+
+
+class LostAtStopTests(SidecarTestCase):
+    def setUp(self):
+        super().setUp()
+        self.start_pair(answer_slowly)
+        self.address = self.edge.options.outbound
+
+    def connect(self):
+        address = (self.address.host, self.address.port)
+        socket = gevent.socket.create_connection(address)
+        self.addCleanup(socket.close)
+        return socket
+
+    def connect_kept(self):
+        """Return a connection on which the node waits for a request."""
+        socket = self.connect()
+        gevent.sleep(BLOCKED_SECONDS)
+        return socket
+
+    def stop_node(self, before_close):
+        """Stop the node up to its exit; act just before its listeners close."""
+        close_listeners = self.edge.close_listeners
+
+        def act_and_close():
+            before_close()
+            # What was sent arrives while the event loop does not run.
+            get_original("time", "sleep")(BLOCKED_SECONDS)
+            close_listeners()
+
+        self.edge.close_listeners = act_and_close
+        stopping = gevent.spawn(self.edge.stop)
+        stopping.get(timeout=4)
+        # The process exits now, which closes every connection.
+        self.edge.abort()
+
+    def check_answered(self, socket):
+        socket.settimeout(1.0)
+        self.assertIn(b"HTTP/1.1 200 OK", socket.recv(65536))
+
+    def test_a_request_still_unread_as_the_listeners_close_is_lost(self):
+        kept = []
+
+        def send():
+            kept[0].sendall(REQUEST)
+
+        gevent.spawn_later(0.8, lambda: kept.append(self.connect()))
+        self.stop_node(send)
+        self.check_answered(kept[0])
+
+    def test_a_request_in_the_accept_queue_is_lost(self):
+        sockets = []
+
+        def send():
+            original = get_original("socket", "create_connection")
+            sockets.append(original((self.address.host, self.address.port)))
+            self.addCleanup(sockets[0].close)
+            sockets[0].sendall(REQUEST)
+
+        self.stop_node(send)
+        self.check_answered(sockets[0])
+
+    def test_a_request_on_a_connection_accepted_last_is_lost(self):
+        sockets = []
+
+        def send():
+            original = get_original("socket", "create_connection")
+            sockets.append(original((self.address.host, self.address.port)))
+            self.addCleanup(sockets[0].close)
+            gevent.spawn_later(0.05, sockets[0].sendall, REQUEST)
+
+        self.stop_node(send)
+        self.check_answered(sockets[0])
+
+    def test_a_request_whose_head_is_half_read_is_lost(self):
+        socket = self.connect_kept()
+        socket.sendall(HEAD)
+        gevent.sleep(BLOCKED_SECONDS)
+        self.stop_node(lambda: gevent.spawn_later(0.1, socket.sendall, BODY))
+        self.check_answered(socket)
+
+    def test_a_request_whose_body_is_half_read_is_lost(self):
+        socket = self.connect_kept()
+        socket.sendall(HEAD + BODY[:4])
+        gevent.sleep(BLOCKED_SECONDS)
+        self.stop_node(lambda: gevent.spawn_later(0.1, socket.sendall, BODY[4:]))
+        self.check_answered(socket)
+
+    def test_a_call_of_a_peer_still_unread_as_the_listeners_close_is_lost(self):
+        self.address = self.deep.options.inbound
+        self.edge, self.deep = self.deep, self.edge
+        kept = []
+        gevent.spawn_later(0.8, lambda: kept.append(self.connect()))
+        context = MeshContext("a1", "registry", "quota", 1.0, False, 900.0, 0)
+        line = b"%b: %b\r\n" % (CONTEXT_HEADER, msgspec.json.encode(context))
+        self.stop_node(lambda: kept[0].sendall(HEAD + line + BODY))
+        self.check_answered(kept[0])
