Let a stop wait for connections, not for counted calls

Callers saw, under planned work only, that a whole request ended with a closed connection, 2.3 s after the node was told to stop.

Cause: the exit waited for calls, and a request is a call only once its handler runs. A connection taken from the kernel's queue, one whose request had arrived unread, and one with half a head or body were no calls yet; the process exited in the same turn of its event loop in which their tasks began to read and to pass on what they had read. Class of fault: a shutdown that drains a counter which starts later than the obligation it stands for.

Change: after the listeners have closed, the stop waits until no connection is open, bounded by the grace as before. Idle connections are closed at once and every other ends after its next answer. A connection that was just accepted gets half a second for its first request instead of the idle timeout.

--- a/src/fuchsiaspool/http/server.py
+++ b/src/fuchsiaspool/http/server.py
@@ -34,6 +34,9 @@
 HEADER_TIMEOUT_SECONDS: Final = 5.0
 STALL_TIMEOUT_SECONDS: Final = 5.0
 BODY_TIMEOUT_SECONDS: Final = 30.0
+# Wait for the first request on a connection that was accepted while stopping: its
+# caller has usually sent it already.
+STOPPING_IDLE_TIMEOUT_SECONDS: Final = 0.5
 _REASON_PHRASES: Final = {s.value: s.phrase.encode() for s in HTTPStatus}
 
 
@@ -102,7 +105,10 @@
             spawn=max_connections,
             backlog=1024,
         )
+        # Connections on which no request has arrived since their last answer, and those
+        # on which none has arrived yet.
         self._idle_channels: set[Channel] = set()
+        self._new_channels: set[Channel] = set()
         self.stopping = False
 
     def start(self) -> None:
@@ -129,7 +135,11 @@
         self.stopping = True
 
     def stop_accepting(self) -> CloseSummary:
-        """Stop listening and close idle connections; running requests continue."""
+        """Stop listening and close idle connections; running requests continue.
+
+        Every connection ends after its next answer, and one without a request soon:
+        once `open_connections` is zero, the process may exit.
+        """
         self.stopping = True
         self._server.stop_accepting()
         accepted = self._accept_waiting()
@@ -143,6 +153,8 @@
             idle += 1
             self._idle_channels.discard(channel)
             channel.abort()
+        for channel in self._new_channels:
+            channel.set_timeout(STOPPING_IDLE_TIMEOUT_SECONDS)
         return CloseSummary(accepted, idle, unread)
 
     def _accept_waiting(self) -> int:
@@ -164,12 +176,14 @@
     def _serve(self, socket: Any, peer_address: tuple[str, int]) -> None:
         channel = Channel(socket)
         reader = MessageReader(channel, for_requests=True)
+        self._new_channels.add(channel)
         try:
             while self._serve_one(channel, reader, peer_address[0]):
                 reader.advance()
         except (ConnectionClosedError, IncompleteBodyError, OSError):
             return
         finally:
+            self._new_channels.discard(channel)
             channel.close()
 
     def _serve_one(self, channel: Channel, reader: MessageReader, peer_ip: str) -> bool:
@@ -194,10 +208,14 @@
         return self._answer(channel, reader, request)
 
     def _await_head(self, channel: Channel, reader: MessageReader) -> Head:
-        if not reader.has_started:
+        if channel in self._new_channels:
+            channel.set_timeout(self._find_idle_timeout())
+            reader.receive()
+            self._new_channels.discard(channel)
+        elif not reader.has_started:
             self._idle_channels.add(channel)
             try:
-                channel.set_timeout(self._answer_format.get_idle_timeout())
+                channel.set_timeout(self._find_idle_timeout())
                 reader.receive()
                 if channel not in self._idle_channels:
                     # The request arrived while the idle connection was being closed,
@@ -211,6 +229,12 @@
         with gevent.Timeout(HEADER_TIMEOUT_SECONDS, TimeoutError("header stalled")):
             return reader.read_head()
 
+    def _find_idle_timeout(self) -> float:
+        idle_timeout = self._answer_format.get_idle_timeout()
+        if not self.stopping:
+            return idle_timeout
+        return min(idle_timeout, STOPPING_IDLE_TIMEOUT_SECONDS)
+
     def _read_body(self, channel: Channel, reader: MessageReader, head: Head) -> Body:
         if reader.complete:
             return Body(reader.read_body())
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -428,7 +428,9 @@
         while self.admission.in_flight and self.clock.now() < accept_until:
             gevent.sleep(DRAIN_CHECK_SECONDS)
         self.close_listeners()
-        while self._calls_in_flight and self.clock.now() < drain_deadline:
+        # A request is a call only once its handler runs; a connection counts from the
+        # moment it is accepted.
+        while self._count_open_connections() and self.clock.now() < drain_deadline:
             gevent.sleep(DRAIN_CHECK_SECONDS)
         for call in self._calls_in_flight.values():
             _LOG.error("call cut off", extra={"request": call.request})
