Let the stop of a node with its own interface wait for connections

Callers of fuchsiaspool-node saw the same as on the platform: a request that was being received as the listeners closed ended with a closed connection.

Change: each listener that was closed is drained of its connections, bounded by the grace; the fixed sleep goes.

Measured: the test failed before (no answer) and passes; stop, process and demo tests pass.

--- a/src/fuchsiaspool/node.py
+++ b/src/fuchsiaspool/node.py
@@ -38,8 +38,6 @@
 DRAIN_CHECK_SECONDS: Final = 0.02
 # Short, so that each batch of samples is small and delays no call.
 HISTOGRAM_FLUSH_SECONDS: Final = 0.05
-# Time to send the last answers after the last call has ended.
-FINAL_ANSWERS_SECONDS: Final = 0.2
 
 
 class NodeState(Enum):
@@ -108,11 +106,9 @@
         gevent.spawn(self.components.registry.withdraw)
         deadline = self._clock.now() + self.options.grace
         self._await_drained(deadline)
-        for server in (self._caller_server, self._mesh_server):
-            server.stop_accepting()
-        self._await_drained(deadline)
-        self._egress_server.stop_accepting()
-        gevent.sleep(FINAL_ANSWERS_SECONDS)
+        # Calls that run on the local server may still make calls.
+        self._drain_listeners(deadline, self._caller_server, self._mesh_server)
+        self._drain_listeners(deadline, self._egress_server)
         self._close()
 
     def abort(self) -> None:
@@ -132,8 +128,17 @@
         self.components.pool.close()
         self.stopped.set()
 
-    def _await_drained(self, deadline: float) -> None:
-        while self._calls_in_flight or self.claims.unsettled:
+    def _drain_listeners(self, deadline: float, *servers: HttpServer) -> None:
+        for server in servers:
+            server.stop_accepting()
+        self._await_drained(deadline, *servers)
+
+    def _await_drained(self, deadline: float, *closed_servers: HttpServer) -> None:
+        while (
+            self._calls_in_flight
+            or self.claims.unsettled
+            or any(server.open_connections for server in closed_servers)
+        ):
             if self._clock.now() >= deadline:
                 self._log_cut_off_calls()
                 return
--- a/tests/test_lost_at_stop.py
+++ b/tests/test_lost_at_stop.py
@@ -1,5 +1,7 @@
 """Test that a stop answers requests at each moment of their arrival."""
 
+import unittest
+
 import gevent
 import gevent.socket
 import msgspec
@@ -8,6 +10,7 @@
 from fuchsiaspool.mesh import CONTEXT_HEADER, MeshContext
 
 from .sidecar_case import ReceivedRequest, SidecarTestCase
+from .support import ScriptedServer, make_options, start_node
 
 BLOCKED_SECONDS = 0.05
 SERVICE_SECONDS = 0.2
@@ -120,3 +123,22 @@
         line = b"%b: %b\r\n" % (CONTEXT_HEADER, msgspec.json.encode(context))
         self.stop_node(lambda: kept[0].sendall(HEAD + line + BODY))
         self.check_answered(kept[0])
+
+
+class LostAtStopOfNodeTests(unittest.TestCase):
+    def test_a_request_half_sent_as_the_listeners_close_gets_no_answer(self):
+        server = ScriptedServer(b"")
+        self.addCleanup(server.stop)
+        node = start_node(self, make_options(server.address))
+        address = node.options.callers
+        socket = gevent.socket.create_connection((address.host, address.port))
+        self.addCleanup(socket.close)
+        socket.sendall(b"GET /quota/1 HTTP/1.1\r\n")
+        gevent.sleep(BLOCKED_SECONDS)
+        gevent.spawn_later(0.4, socket.sendall, b"host: quota\r\n\r\n")
+        node.stop()
+        # The process exits now, which closes every connection.
+        node.abort()
+        socket.settimeout(1.0)
+        # No other node serves the request.
+        self.assertIn(b"HTTP/1.1 503 ", socket.recv(65536))
