Log a restored store, and settings that a node refuses as not newer

Cause: the hypotheses on configurations ignored after a restore differ in whether a node reads the new one at all; a refused one left no log line, and nobody read the era of the store.

Change: the store's era is read from each answer; its rise is logged and is a metric. Settings that are refused although they differ are logged, each once. No change of what is adopted.

--- a/src/fuchsiaspool/controllers/settings.py
+++ b/src/fuchsiaspool/controllers/settings.py
@@ -40,6 +40,7 @@
         self._apply = apply
         self._send = send
         self._requested_at: dict[Address, float] = {}
+        self._refused_digest = ""
 
     @property
     def revision(self) -> Revision:
@@ -49,6 +50,7 @@
     def adopt(self, snapshot: SettingsSnapshot) -> bool:
         """Apply a snapshot if it is newer and valid; return whether it was."""
         if snapshot.revision <= self.snapshot.revision:
+            self._log_refusal(snapshot)
             return False
         built = self._build(snapshot.revision, snapshot.texts)
         if isinstance(built, Err):
@@ -62,6 +64,17 @@
         _LOG.info("settings adopted", extra={"revision": snapshot.revision})
         return True
 
+    def _log_refusal(self, snapshot: SettingsSnapshot) -> None:
+        digest = hash_tree(snapshot.texts)
+        # A reader may see the same older settings again and again.
+        if snapshot.texts == self.snapshot.texts or digest == self._refused_digest:
+            return
+        self._refused_digest = digest
+        _LOG.warning(
+            "settings not newer",
+            extra={"revision": snapshot.revision, "in_force": self.snapshot.revision},
+        )
+
     def receive_revision(self, revision: Revision, sender: Address) -> None:
         """Request the settings of a peer if they are newer."""
         if revision <= self.snapshot.revision:
--- a/src/fuchsiaspool/metrics.py
+++ b/src/fuchsiaspool/metrics.py
@@ -6,7 +6,7 @@
 from .controllers.counters import OutcomeCounters
 from .controllers.histograms import Histograms, Measure
 from .controllers.server_notices import LocalServerNotices
-from .ids import Revision
+from .ids import Era, Revision
 
 # Percentiles reported for each latency histogram.
 PERCENTILES: Final = (50.0, 90.0, 99.0)
@@ -15,6 +15,7 @@
 def format_metrics(
     admission: Admission,
     revision: Revision,
+    store_era: Era,
     counters: OutcomeCounters,
     histograms: Histograms,
     notices: LocalServerNotices,
@@ -27,6 +28,7 @@
         f"server_requests {notices.requests}",
         f"server_leaving {int(notices.leaving)}",
         f"log_configuration_revision {revision}",
+        f"store_era {store_era}",
     ]
     if notices.limit is not None:
         lines.append(f"server_limit {notices.limit:g}")
--- a/src/fuchsiaspool/platform/client.py
+++ b/src/fuchsiaspool/platform/client.py
@@ -16,7 +16,7 @@
 
 from ..addresses import Address
 from ..clock import Clock
-from ..ids import Version
+from ..ids import Era, Version
 from ..results import Err, Ok, Result
 from .objects import (
     Ambiguous,
@@ -35,6 +35,7 @@
 from .wire import (
     ALLOW_STALE_PARAMETER,
     OBJECTS_PATH,
+    STORE_ERA_HEADER,
     NewMetadata,
     NewObject,
     StoreObject,
@@ -64,6 +65,7 @@
 MAX_ANSWER_BYTES: Final = 8_388_608
 
 DecodedT = TypeVar("DecodedT")
+ObserveEra = Callable[[Era], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,7 +90,12 @@
     """Implement the object store API over pooled connections."""
 
     def __init__(
-        self, address: Address, clock: Clock, rng: random.Random, max_attempts: int
+        self,
+        address: Address,
+        clock: Clock,
+        rng: random.Random,
+        max_attempts: int,
+        observe_era: ObserveEra,
     ) -> None:
         self._pool = urllib3.HTTPConnectionPool(
             address.host,
@@ -100,6 +107,7 @@
         self._clock = clock
         self._rng = rng
         self._max_attempts = max_attempts
+        self._observe_era = observe_era
 
     def get(self, key: ObjectKey) -> Result[StoredObject, ReadFault]:
         result = self._read(
@@ -225,7 +233,8 @@
             if len(data) > MAX_ANSWER_BYTES:
                 answer.close()
                 raise HTTPError("answer over the limit")
-            return _StoreAnswer(answer.status, data)
+        self._observe_era(_parse_era(answer.headers.get(STORE_ERA_HEADER)))
+        return _StoreAnswer(answer.status, data)
 
     def _write(self, method: str, path: str, body: bytes | None) -> WriteOutcome:
         # A write is never retried here. The caller resolves an ambiguous outcome by
@@ -253,6 +262,11 @@
         return Version(0)
 
 
+def _parse_era(text: str | None) -> Era:
+    # Zero stands for a store that states no era.
+    return Era(int(text)) if text is not None and text.isdecimal() else Era(0)
+
+
 def _to_stored_object(key: ObjectKey, store_object: StoreObject) -> StoredObject:
     value = decode_value(store_object.specification)
     return StoredObject(key, Version(store_object.metadata.revision), value)
@@ -273,12 +287,14 @@
     clock: Clock,
     rng: random.Random,
     max_attempts: int = MAX_READ_ATTEMPTS,
+    observe_era: ObserveEra = lambda era: None,
 ) -> PlatformStore:
     """Return a client of the platform's object store at an address.
 
-    A read that fails is retried until `max_attempts` attempts were made.
+    A read that fails is retried until `max_attempts` attempts were made. `observe_era`
+    gets the era that each answer states.
     """
-    client = _StoreClient(address, clock, rng, max_attempts)
+    client = _StoreClient(address, clock, rng, max_attempts, observe_era)
     return PlatformStore(
         client.get,
         client.put,
--- a/src/fuchsiaspool/platform/wire.py
+++ b/src/fuchsiaspool/platform/wire.py
@@ -17,6 +17,8 @@
 LEAVING_HEADER: Final = b"server-leaving"
 
 LEAVING_VALUE: Final = b"1"
+# Sent by the store; rises by one each time it was restored from an older copy.
+STORE_ERA_HEADER: Final = "Store-Era"
 
 READINESS_PATH: Final = "/-/readiness"
 INSTANCE_PATH: Final = "/-/instances/<instance>"
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -34,6 +34,7 @@
 from .controllers.retries import RetryBudget
 from .controllers.server_notices import LocalServerNotices
 from .controllers.settings import SettingsReplica
+from .controllers.store_era import StoreEra
 from .controllers.threshold import LearnedThresholds
 from .controllers.token_bucket import TokenBucket
 from .controllers.weighted_round_robin import WeightedRoundRobin
@@ -327,8 +328,13 @@
         options, clock = self.options, self.clock
         location = options.place
         # Each user of the store retries by itself, at a rate that the store can serve.
+        self.store_era = StoreEra()
         self.store = make_platform_store(
-            options.platform, clock, self.rng, max_attempts=1
+            options.platform,
+            clock,
+            self.rng,
+            max_attempts=1,
+            observe_era=self.store_era.observe,
         )
         self.bus = PeerBus(
             location,
@@ -619,6 +625,7 @@
         return format_metrics(
             self.admission,
             self.settings_replica.revision,
+            self.store_era.current,
             self.counters,
             self.histograms,
             self.notices,
