Let the stand-in store be restored from a copy

Cause: the platform's store may come back from a copy some seconds old and give revisions out again, with a Store-Era that has risen. The stand-in never lost or repeated a revision, so no test could show what nodes do then.

Change: ObjectStore takes a copy and restores it: objects and the revision counter go back, later history is gone, waiting watches and those from a revision above the store's get 410, and the era rises by one. All answers of PlatformStandin contain the era, error pages included. A watch from a revision that was given out a second time is answered as usual, since the store can't tell the two apart.

--- a/src/fuchsiaspool/standins/platform.py
+++ b/src/fuchsiaspool/standins/platform.py
@@ -1,9 +1,9 @@
 """Serve the platform's object API from memory, with injected faults."""
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final
 
 import bottle
 import gevent
@@ -38,6 +38,10 @@
 MAX_HISTORY_EVENTS: Final = 1000
 # Page size of a list in the platform's documentation.
 MAX_PAGE_OBJECTS: Final = 500
+ERA_HEADER: Final = "Store-Era"
+
+# A WSGI application; its callables are too dynamic to be typed more narrowly.
+WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
 
 class PlatformFaults(msgspec.Struct):
@@ -71,10 +75,22 @@
     refused: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Hold the objects of a store and its revision at one moment."""
+
+    objects: dict[ObjectKey, StoredObject]
+    version: Version
+
+
 class ObjectStore:
-    """Store objects with conditional changes and a bounded history of events."""
+    """Store objects with conditional changes and a bounded history of events.
+
+    `era` counts how often the store was restored from a copy, starting at 1.
+    """
 
     def __init__(self) -> None:
+        self.era = 1
         self.objects: dict[ObjectKey, StoredObject] = {}
         self.version = Version(0)
         self.oldest_watch_version = Version(0)
@@ -109,9 +125,14 @@
         return Listing(self.version, items)
 
     def watch(self, prefix: str, since: Version, seconds: float) -> WatchBatch | None:
-        """Wait for events after a version; return `None` if the version is too old."""
+        """Wait for events after a version; return `None` if its history is gone.
+
+        A version that was given out before a restore, and again after it, can't be
+        told apart from the later one.
+        """
+        era = self.era
         with gevent.Timeout(seconds, False):
-            while since >= self.oldest_watch_version:
+            while self._has_history(since, era):
                 events = [
                     event
                     for event in self._events
@@ -120,16 +141,34 @@
                 if events:
                     return WatchBatch(self.version, events)
                 self._changed.wait()
-        return (
-            WatchBatch(self.version, []) if since >= self.oldest_watch_version else None
-        )
+        has_history = self._has_history(since, era)
+        return WatchBatch(self.version, []) if has_history else None
 
     def discard_history(self) -> None:
         """Discard all events, so that no watch can resume."""
         self._events.clear()
         self.oldest_watch_version = Version(self.version + 1)
-        self._changed.set()
-        self._changed.clear()
+        self._notify_watches()
+
+    def take_copy(self) -> StoreCopy:
+        """Return a copy of the objects for a later restore."""
+        return StoreCopy(dict(self.objects), self.version)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Return to a copy: later changes are lost and their versions given out again.
+
+        Watches that are waiting end.
+        """
+        self.objects = dict(copy.objects)
+        self.version = copy.version
+        self.era += 1
+        while self._events and self._events[-1].version > copy.version:
+            self._events.pop()
+        self.oldest_watch_version = min(self.oldest_watch_version, copy.version)
+        self._notify_watches()
+
+    def _has_history(self, since: Version, era: int) -> bool:
+        return self.era == era and self.oldest_watch_version <= since <= self.version
 
     def _advance_version(self) -> Version:
         self.version = Version(self.version + 1)
@@ -139,6 +178,9 @@
         self._events.append(event)
         while len(self._events) > MAX_HISTORY_EVENTS:
             self.oldest_watch_version = self._events.popleft().version
+        self._notify_watches()
+
+    def _notify_watches(self) -> None:
         self._changed.set()
         self._changed.clear()
 
@@ -147,6 +189,7 @@
     """Serve an object store over HTTP in the platform's published protocol.
 
     Requests above `writes_per_second` or `reads_per_second` are rejected with 429.
+    All answers contain the era of the store.
     """
 
     def __init__(
@@ -168,7 +211,7 @@
         self._last_listings: dict[str, Listing] = {}
         socket = listen(address)
         self.address = Address(*socket.getsockname()[:2])
-        app = self._make_app()
+        app = self._add_era_header(self._make_app())
         self._server = WSGIServer(socket, app, log=None, error_log=None)
 
     def start(self) -> None:
@@ -190,6 +233,21 @@
         app.put("/faults", callback=self._set_faults)
         return app
 
+    def _add_era_header(self, app: WsgiApp) -> WsgiApp:
+        # Outside the application, so that its error pages have the header as well.
+        def serve(
+            environ: dict[str, Any], start_response: Callable[..., Any]
+        ) -> Iterable[bytes]:
+            def start(
+                status: str, headers: list[tuple[str, str]], exc_info: Any = None
+            ) -> Any:
+                era = (ERA_HEADER, str(self.store.era))
+                return start_response(status, [*headers, era], exc_info)
+
+            return app(environ, start)
+
+        return serve
+
     def _set_faults(self) -> str:
         body = bottle.request.body.read()
         self.faults = msgspec.json.decode(body, type=PlatformFaults)
