Order configurations by the operator's version

Cause: nodes adopted a configuration only with a higher revision of the stored object, and told each other that revision. A restored store gives revisions out again: version 11 came with revision 23, which version 9 had had.

Change: the order is the version that the operator writes, read once at the boundary; peers carry it too, and a configuration that a peer sends under another number is refused. The test of the fleet's watches writes versions instead of empty objects, with the same checks.

--- a/src/fuchsiaspool/configuration_watch.py
+++ b/src/fuchsiaspool/configuration_watch.py
@@ -57,7 +57,10 @@
 
 
 class ConfigurationWatch:
-    """Adopt each new revision of one stored object."""
+    """Adopt each new revision of one stored object.
+
+    `read_revision` returns the order of a value, whatever the store's revision of it.
+    """
 
     def __init__(
         self,
@@ -65,6 +68,7 @@
         store: PlatformStore,
         key: ObjectKey,
         path: SubtreePath,
+        read_revision: Callable[[bytes], Result[Revision, str]],
         settings_replica: SettingsReplica[Any],
         fleet: FleetView,
         rng: random.Random,
@@ -74,6 +78,7 @@
         self._store = store
         self._key = key
         self._path = path
+        self._read_revision = read_revision
         self._settings_replica = settings_replica
         self._fleet = fleet
         self._rng = rng
@@ -110,7 +115,7 @@
                 self._note_reachable(True)
                 for event in events.items:
                     if event.key == self._key and event.value is not None:
-                        self._adopt(event.version, event.value)
+                        self._adopt(event.value)
                 return max(since, events.version)
             case Err(ReadFault.VERSION_TOO_OLD):
                 return None
@@ -155,14 +160,18 @@
         self._note_reachable(True)
         for stored in result.value.items:
             if stored.key == self._key:
-                self._adopt(stored.version, stored.value)
+                self._adopt(stored.value)
         return result.value.version
 
     def _make_prefix(self) -> str:
         return self._key.partition("/")[0] + "/"
 
-    def _adopt(self, version: Version, value: bytes) -> None:
-        revision = Revision(version)
+    def _adopt(self, value: bytes) -> None:
+        read = self._read_revision(value)
+        if isinstance(read, Err):
+            _LOG.error("configuration not read", extra={"detail": read.error})
+            return
+        revision = read.value
         snapshot = SettingsSnapshot(
             revision, {self._path: value.decode()}, {self._path: revision}
         )
--- a/src/fuchsiaspool/platform/configuration.py
+++ b/src/fuchsiaspool/platform/configuration.py
@@ -16,10 +16,16 @@
     sort_routes,
 )
 from .objects import ObjectKey
-from .wire import Configuration, PathEntry, decode_configuration
+from .wire import (
+    Configuration,
+    PathEntry,
+    decode_configuration,
+    decode_configuration_version,
+)
 
 CONFIGURATION_KEY: Final = ObjectKey("config/main")
 CONFIGURATION_PATH: Final = SubtreePath("config/main")
+_VERSION_BASE: Final = 16
 
 _ROUTE_KINDS: Final = {
     "idempotent": RouteKind.IDEMPOTENT,
@@ -28,6 +34,18 @@
 }
 
 
+def read_revision(value: bytes) -> Result[Revision, str]:
+    """Return the number by which the operator orders configurations.
+
+    The revision of the stored object is no such order: a store that was restored gives
+    revisions out again.
+    """
+    try:
+        return _parse_version(decode_configuration_version(value).version)
+    except msgspec.DecodeError as error:
+        return Err(str(error))
+
+
 def build_routes(
     revision: Revision, texts: Mapping[SubtreePath, str]
 ) -> Result[RouteTable, str]:
@@ -38,9 +56,23 @@
         return Err("the configuration object is missing")
     except msgspec.DecodeError as error:
         return Err(str(error))
+    version = _parse_version(configuration.version)
+    if isinstance(version, Err):
+        return version
+    if version.value != revision:
+        return Err(f"version {configuration.version} sent as revision {revision}")
     return Ok(_compile_routes(revision, configuration))
 
 
+def _parse_version(text: str) -> Result[Revision, str]:
+    try:
+        number = int(text, _VERSION_BASE)
+    except ValueError:
+        return Err(f"version {text!r} is not hexadecimal")
+    # A node without a configuration is at zero.
+    return Ok(Revision(number)) if number > 0 else Err(f"version {text!r} is zero")
+
+
 def _compile_routes(revision: Revision, configuration: Configuration) -> RouteTable:
     hosts: dict[str, list[Route]] = {}
     for entry in configuration.virtual_hosts:
--- a/src/fuchsiaspool/platform/wire.py
+++ b/src/fuchsiaspool/platform/wire.py
@@ -178,11 +178,18 @@
     limits: LimitsEntry = LimitsEntry()
 
 
+class ConfigurationVersion(msgspec.Struct, frozen=True):
+    """Represent the version of a configuration alone."""
+
+    version: str
+
+
 decode_list: Final = msgspec.json.Decoder(ObjectList).decode
 decode_object: Final = msgspec.json.Decoder(StoreObject).decode
 decode_events: Final = msgspec.json.Decoder(ObjectEvents).decode
 decode_heartbeat: Final = msgspec.json.Decoder(Heartbeat).decode
 decode_configuration: Final = msgspec.json.Decoder(Configuration).decode
+decode_configuration_version: Final = msgspec.json.Decoder(ConfigurationVersion).decode
 encode: Final = msgspec.json.Encoder().encode
 
 
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -72,6 +72,7 @@
     CONFIGURATION_KEY,
     CONFIGURATION_PATH,
     build_routes,
+    read_revision,
 )
 from .platform.endpoints import (
     EndpointCallbacks,
@@ -376,6 +377,7 @@
             self.store,
             CONFIGURATION_KEY,
             CONFIGURATION_PATH,
+            read_revision,
             self.settings_replica,
             FleetView(
                 self._is_watcher,
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -6,7 +6,7 @@
 
 from fuchsiaspool.clock import VirtualClock
 from fuchsiaspool.configuration_watch import ConfigurationWatch, FleetView
-from fuchsiaspool.ids import SubtreePath, Version
+from fuchsiaspool.ids import Revision, SubtreePath, Version
 from fuchsiaspool.platform.objects import (
     ObjectKey,
     PlatformStore,
@@ -53,6 +53,7 @@
                 self.connect(node),
                 CONFIGURATION_KEY,
                 CONFIGURATION_PATH,
+                lambda value: Ok(Revision(int(value))),
                 self.recorders[node],
                 FleetView(
                     lambda node=node: self.is_watcher(node),
@@ -108,7 +109,8 @@
 
     def store_revision(self):
         stored = self.store.objects.get(CONFIGURATION_KEY)
-        self.store.put(CONFIGURATION_KEY, b"{}", stored.version if stored else None)
+        value = b"%d" % (self.store.version + 1)
+        self.store.put(CONFIGURATION_KEY, value, stored.version if stored else None)
         return self.store.objects[CONFIGURATION_KEY].version
 
     def count_up_to_date(self):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -12,7 +12,11 @@
 from fuchsiaspool.controllers.backend_server import ServerState
 from fuchsiaspool.ids import Revision
 from fuchsiaspool.options import read_platform_options
-from fuchsiaspool.platform.configuration import CONFIGURATION_PATH, build_routes
+from fuchsiaspool.platform.configuration import (
+    CONFIGURATION_PATH,
+    build_routes,
+    read_revision,
+)
 from fuchsiaspool.platform.heartbeats import parse_departure, parse_heartbeat
 from fuchsiaspool.platform.interface import PLATFORM_INTERFACE
 from fuchsiaspool.results import Err, Ok
@@ -61,7 +65,7 @@
 
 
 def build_from(configuration):
-    return build_routes(Revision(3), {CONFIGURATION_PATH: json.dumps(configuration)})
+    return build_routes(Revision(12), {CONFIGURATION_PATH: json.dumps(configuration)})
 
 
 class HeartbeatTests(unittest.TestCase):
@@ -114,6 +118,15 @@
             self.assertIsInstance(found, Err, text)
         self.assertIsInstance(build_routes(Revision(1), {}), Err)
 
+    def test_configurations_are_ordered_by_the_operators_version(self):
+        self.assertEqual(read_revision(b'{"version":"0000000c"}'), Ok(Revision(12)))
+        for value in (b"", b"{}", b'{"version":"x"}', b'{"version":"00000000"}'):
+            self.assertIsInstance(read_revision(value), Err, value)
+
+    def test_rejects_a_configuration_sent_under_another_version(self):
+        texts = {CONFIGURATION_PATH: json.dumps(CONFIGURATION)}
+        self.assertIsInstance(build_routes(Revision(23), texts), Err)
+
 
 class DeployTests(unittest.TestCase):
     def test_filled_in_template_is_valid(self):
