Watch on from a position of the store's present era only

A change could be missed: a watch that goes on after a restore from a revision that the store has given out again is answered as usual, without the changes made below that revision.

Cause: a position in the store's history was a revision alone, which names two moments once the store was restored.

Change: a position is a revision and an era. The client compares the era of the answer, and a watch from an earlier one is told that its history is gone, so that the object is read again; a list whose pages are of two eras is read again too. Watches of the settings tree have the same change. Tests that passed a bare revision pass a position of the present era.

--- a/src/fuchsiaspool/configuration_watch.py
+++ b/src/fuchsiaspool/configuration_watch.py
@@ -13,8 +13,8 @@
 
 from .clock import Clock
 from .controllers.settings import SettingsReplica
-from .ids import Revision, SubtreePath, Version
-from .platform.objects import Listing, ObjectKey, PlatformStore, ReadFault
+from .ids import Revision, SubtreePath
+from .platform.objects import Listing, ObjectKey, PlatformStore, Position, ReadFault
 from .results import Err, Ok, Result
 from .settings.objects import SettingsSnapshot
 
@@ -84,14 +84,14 @@
         self._rng = rng
         self._failures = 0
 
-    def load(self) -> Version | None:
-        """Read and adopt the object; return the version to watch from, if readable."""
+    def load(self) -> Position | None:
+        """Read and adopt the object; return the position to watch from, if readable."""
         return self._adopt_listing(self._store.list_prefix(self._make_prefix()))
 
     def run(self) -> None:
         """Watch the object, or wait for gossip and poll; never return."""
         self._await_peers()
-        since: Version | None = None
+        since: Position | None = None
         while True:
             if not self._fleet.is_watcher():
                 since = None
@@ -104,10 +104,10 @@
                 continue
             since = self.watch(since)
 
-    def watch(self, since: Version) -> Version | None:
-        """Wait once for a change; return the version to go on from.
+    def watch(self, since: Position) -> Position | None:
+        """Wait once for a change; return the position to go on from.
 
-        `None`: the platform failed or no longer has the version; read the object again.
+        `None`: the platform failed or no longer has the position; read again.
         """
         result = self._store.watch(self._key, since, WATCH_TIMEOUT_SECONDS)
         match result:
@@ -116,7 +116,7 @@
                 for event in events.items:
                     if event.key == self._key and event.value is not None:
                         self._adopt(event.value)
-                return max(since, events.version)
+                return Position(max(since.version, events.version), events.era)
             case Err(ReadFault.VERSION_TOO_OLD):
                 return None
         self._note_reachable(False)
@@ -153,7 +153,7 @@
                 return
         self._adopt_listing(self._store.list_stale(self._make_prefix()))
 
-    def _adopt_listing(self, result: Result[Listing, ReadFault]) -> Version | None:
+    def _adopt_listing(self, result: Result[Listing, ReadFault]) -> Position | None:
         if isinstance(result, Err):
             self._note_reachable(False)
             return None
@@ -161,7 +161,7 @@
         for stored in result.value.items:
             if stored.key == self._key:
                 self._adopt(stored.value)
-        return result.value.version
+        return result.value.position
 
     def _make_prefix(self) -> str:
         return self._key.partition("/")[0] + "/"
--- a/src/fuchsiaspool/platform/client.py
+++ b/src/fuchsiaspool/platform/client.py
@@ -5,7 +5,7 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Final, TypeVar
+from typing import Final, Generic, TypeVar
 from urllib.parse import quote
 
 import gevent
@@ -25,6 +25,7 @@
     Listing,
     ObjectKey,
     PlatformStore,
+    Position,
     ReadFault,
     StoredObject,
     Unavailable,
@@ -38,6 +39,7 @@
     STORE_ERA_HEADER,
     NewMetadata,
     NewObject,
+    ObjectList,
     StoreObject,
     decode_events,
     decode_list,
@@ -64,16 +66,27 @@
 # Answers are buffered whole: a page has 1 MB or one object, whichever is larger.
 MAX_ANSWER_BYTES: Final = 8_388_608
 
-DecodedT = TypeVar("DecodedT")
 ObserveEra = Callable[[Era], None]
 
 
+DecodedT = TypeVar("DecodedT")
+
+
 @dataclass(frozen=True, slots=True)
 class _StoreAnswer:
-    """Represent an answer of the store: its status and whole body."""
+    """Represent an answer of the store: its status, whole body and era."""
 
     status: int
     data: bytes
+    era: Era
+
+
+@dataclass(frozen=True, slots=True)
+class _Decoded(Generic[DecodedT]):
+    """Represent what was read, and the era of the store that answered."""
+
+    value: DecodedT
+    era: Era
 
 
 SOCKET_OPTIONS: Final = [
@@ -115,7 +128,7 @@
         )
         if isinstance(result, Err):
             return result
-        return Ok(_to_stored_object(key, result.value))
+        return Ok(_to_stored_object(key, result.value.value))
 
     def put(
         self, key: ObjectKey, value: bytes, version: Version | None
@@ -137,7 +150,7 @@
     ) -> Result[Listing, ReadFault]:
         kind, name_prefix = _split_key(prefix)
         items: list[StoredObject] = []
-        listed_at: int | None = None
+        first: _Decoded[ObjectList] | None = None
         after = ""
         while True:
             parameters = [ALLOW_STALE_PARAMETER] if stale else []
@@ -149,37 +162,46 @@
             page = self._read(path, REQUEST_TIMEOUT_SECONDS, decode_list)
             if isinstance(page, Err):
                 return page
-            for store_object in page.value.items:
+            read = page.value
+            # Later pages may be newer. A watch from the first page's revision misses
+            # no change.
+            first = first or read
+            if read.era != first.era:
+                return Err(ReadFault.UNAVAILABLE)
+            for store_object in read.value.items:
                 after = store_object.metadata.name
                 if after.startswith(name_prefix):
                     items.append(
                         _to_stored_object(ObjectKey(f"{kind}/{after}"), store_object)
                     )
-            # Later pages may be newer. A watch from the first page's revision misses
-            # no change.
-            listed_at = page.value.at if listed_at is None else listed_at
-            if not page.value.has_more or not page.value.items:
-                return Ok(Listing(Version(listed_at), items))
+            if not read.value.has_more or not read.value.items:
+                return Ok(Listing(Version(first.value.at), items, first.era))
 
     def watch(
-        self, prefix: str, version: Version, seconds: float
+        self, prefix: str, since: Position, seconds: float
     ) -> Result[WatchBatch, ReadFault]:
         kind, name_prefix = _split_key(prefix)
-        query = f"watch={version}&waitMs={int(seconds * _MILLISECONDS_PER_SECOND)}"
+        query = (
+            f"watch={since.version}&waitMs={int(seconds * _MILLISECONDS_PER_SECOND)}"
+        )
         timeout = seconds + _WATCH_TIMEOUT_MARGIN_SECONDS
         path = f"{OBJECTS_PATH}/{kind}?{query}"
         result = self._read(path, timeout, decode_events, max_attempts=1)
         if isinstance(result, Err):
             return result
+        answer = result.value
+        if answer.era != since.era:
+            # The version was given out again: what was changed before it is missing.
+            return Err(ReadFault.VERSION_TOO_OLD)
         events: list[WatchEvent] = []
-        for event in result.value.events:
+        for event in answer.value.events:
             metadata = event.object.metadata
             if not metadata.name.startswith(name_prefix):
                 continue
             key = ObjectKey(f"{kind}/{metadata.name}")
             value = None if event.deleted else decode_value(event.object.specification)
             events.append(WatchEvent(key, Version(metadata.revision), value))
-        return Ok(WatchBatch(Version(result.value.at), events))
+        return Ok(WatchBatch(Version(answer.value.at), events, answer.era))
 
     def _read(
         self,
@@ -187,7 +209,7 @@
         timeout: float,
         decode: Callable[[bytes], DecodedT],
         max_attempts: int | None = None,
-    ) -> Result[DecodedT, ReadFault]:
+    ) -> Result[_Decoded[DecodedT], ReadFault]:
         for attempt in range(max_attempts or self._max_attempts):
             if attempt:
                 backoff = RETRY_BACKOFF_SECONDS * 2**attempt
@@ -203,7 +225,7 @@
             if answer.status != 200:
                 continue
             try:
-                return Ok(decode(answer.data))
+                return Ok(_Decoded(decode(answer.data), answer.era))
             except msgspec.DecodeError:
                 continue
         return Err(ReadFault.UNAVAILABLE)
@@ -233,8 +255,9 @@
             if len(data) > MAX_ANSWER_BYTES:
                 answer.close()
                 raise HTTPError("answer over the limit")
-        self._observe_era(_parse_era(answer.headers.get(STORE_ERA_HEADER)))
-        return _StoreAnswer(answer.status, data)
+        era = _parse_era(answer.headers.get(STORE_ERA_HEADER))
+        self._observe_era(era)
+        return _StoreAnswer(answer.status, data, era)
 
     def _write(self, method: str, path: str, body: bytes | None) -> WriteOutcome:
         # A write is never retried here. The caller resolves an ambiguous outcome by
--- a/src/fuchsiaspool/platform/objects.py
+++ b/src/fuchsiaspool/platform/objects.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ..ids import Version
+from ..ids import Era, Version
 from ..results import Result
 
 ObjectKey = NewType("ObjectKey", str)
@@ -24,11 +24,27 @@
     value: bytes
 
 
+class Position(msgspec.Struct, frozen=True):
+    """Represent a point in the store's history; versions have an order in an era only.
+
+    The era is zero if the store states none.
+    """
+
+    version: Version
+    era: Era = Era(0)
+
+
 class Listing(msgspec.Struct, frozen=True):
     """Represent the objects under a prefix as of one version of the store."""
 
     version: Version
     items: list[StoredObject]
+    era: Era = Era(0)
+
+    @property
+    def position(self) -> Position:
+        """Return where to watch from, to miss no change after this listing."""
+        return Position(self.version, self.era)
 
 
 class WatchEvent(msgspec.Struct, frozen=True):
@@ -44,6 +60,7 @@
 
     version: Version
     items: list[WatchEvent]
+    era: Era = Era(0)
 
 
 class ReadFault(Enum):
@@ -88,7 +105,8 @@
     """Define the API of the platform's object store as functions.
 
     A write with `None` as version creates the object. `list_stale` may return data
-    that is some seconds old, at a fraction of the cost.
+    that is some seconds old, at a fraction of the cost. `watch` waits for changes after
+    a position; one of an earlier era is too old, whatever the store has there now.
     """
 
     get: Callable[[ObjectKey], Result[StoredObject, ReadFault]]
@@ -96,4 +114,4 @@
     delete: Callable[[ObjectKey, Version], WriteOutcome]
     list_prefix: Callable[[str], Result[Listing, ReadFault]]
     list_stale: Callable[[str], Result[Listing, ReadFault]]
-    watch: Callable[[str, Version, float], Result[WatchBatch, ReadFault]]
+    watch: Callable[[str, Position, float], Result[WatchBatch, ReadFault]]
--- a/src/fuchsiaspool/settings_watch.py
+++ b/src/fuchsiaspool/settings_watch.py
@@ -6,8 +6,7 @@
 
 from .clock import Clock
 from .controllers.settings import SettingsReplica
-from .ids import Version
-from .platform.objects import ObjectKey, PlatformStore, ReadFault
+from .platform.objects import ObjectKey, PlatformStore, Position, ReadFault
 from .results import Err, Ok
 from .settings.objects import SETTINGS_PREFIX, SETTINGS_ROOT_KEY
 from .settings.policy import Policy
@@ -51,7 +50,7 @@
 
     def run(self) -> None:
         """Watch or poll; never return."""
-        since: Version | None = None
+        since: Position | None = None
         while True:
             if not self._is_watcher():
                 since = None
@@ -60,13 +59,13 @@
                 continue
             since = self.watch(since)
 
-    def watch(self, since: Version | None) -> Version | None:
-        """Wait once for a change; return the version to go on from.
+    def watch(self, since: Position | None) -> Position | None:
+        """Wait once for a change; return the position to go on from.
 
-        `None`: the platform failed or no longer has the version; read the root again.
+        `None`: the platform failed or no longer has the position; read again.
         """
         if since is None:
-            since = self._read_root_version()
+            since = self._read_root_position()
             if since is None:
                 self._clock.sleep(RETRY_PAUSE_SECONDS * self._rng.uniform(0.5, 1.5))
                 return None
@@ -78,14 +77,14 @@
                     # The change could not be read; watch again from before it.
                     self._clock.sleep(RETRY_PAUSE_SECONDS)
                     return since
-                return max(since, events.version)
+                return Position(max(since.version, events.version), events.era)
             case Err(ReadFault.VERSION_TOO_OLD):
                 return None
         self._clock.sleep(RETRY_PAUSE_SECONDS * self._rng.uniform(0.5, 1.5))
         return None
 
-    def _read_root_version(self) -> Version | None:
+    def _read_root_position(self) -> Position | None:
         match self._store.list_prefix(SETTINGS_PREFIX + "root"):
             case Ok(listing):
-                return listing.version
+                return listing.position
         return None
--- a/src/fuchsiaspool/standins/memory_store.py
+++ b/src/fuchsiaspool/standins/memory_store.py
@@ -10,6 +10,7 @@
     Listing,
     ObjectKey,
     PlatformStore,
+    Position,
     ReadFault,
     StoredObject,
     Unavailable,
@@ -56,7 +57,7 @@
         )
 
     def watch(
-        prefix: str, version: Version, seconds: float
+        prefix: str, since: Position, seconds: float
     ) -> Result[WatchBatch, ReadFault]:
         return Err(ReadFault.UNAVAILABLE)
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -91,14 +91,14 @@
 
             return read
 
-        def watch(key, version, seconds):
+        def watch(key, since, seconds):
             self.calls["watch"] += 1
             deadline = self.clock.now() + seconds
             while self.clock.now() < deadline:
                 self.clock.sleep(0.1)
                 if is_unreachable():
                     return Err(ReadFault.UNAVAILABLE)
-                if self.store.version > version:
+                if self.store.version > since.version:
                     changed = self.store.objects[CONFIGURATION_KEY]
                     return Ok(WatchBatch(changed.version, [changed]))
             return Ok(WatchBatch(Version(self.store.version), []))
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -9,13 +9,14 @@
 
 from fuchsiaspool.addresses import Address
 from fuchsiaspool.clock import SystemClock
-from fuchsiaspool.ids import Version
+from fuchsiaspool.ids import Era, Version
 from fuchsiaspool.platform.client import make_platform_store
 from fuchsiaspool.platform.objects import (
     Ambiguous,
     Applied,
     Conflict,
     ObjectKey,
+    Position,
     ReadFault,
     Unavailable,
     WatchBatch,
@@ -89,7 +90,8 @@
     def test_watch_fails_if_its_version_left_the_history(self):
         self.start()
         version = self.client.put(ObjectKey("kind/a"), b"{}", None).version
-        waiting = gevent.spawn(self.client.watch, "kind/", version, 5.0)
+        position = Position(version, self.standin.store.era)
+        waiting = gevent.spawn(self.client.watch, "kind/", position, 5.0)
         gevent.sleep(0.1)
         self.standin.store.discard_history()
         self.assertEqual(waiting.get(timeout=3), Err(ReadFault.VERSION_TOO_OLD))
@@ -105,6 +107,11 @@
     def put(self, name):
         return self.client.put(ObjectKey(f"kind/{name}"), b"{}", None).version
 
+    def watch(self, version, seconds=0.1):
+        """Watch from a version of the present era."""
+        position = Position(version, self.store.era)
+        return self.client.watch("kind/", position, seconds)
+
     def list_names(self):
         listing = self.client.list_prefix("kind/").value
         return listing.version, "".join(item.key[-1] for item in listing.items)
@@ -133,14 +140,14 @@
         copy = self.store.take_copy()
         lost = self.put("b")
         self.store.restore(copy)
-        result = self.client.watch("kind/", lost, 0.1)
+        result = self.watch(lost)
         self.assertEqual(result, Err(ReadFault.VERSION_TOO_OLD))
-        result = self.client.watch("kind/", first, 0.1)
-        self.assertEqual(result, Ok(WatchBatch(first, [])))
+        result = self.watch(first)
+        self.assertEqual(result, Ok(WatchBatch(first, [], Era(2))))
 
     def test_a_restore_ends_waiting_watches(self):
         version = self.put("a")
-        waiting = gevent.spawn(self.client.watch, "kind/", version, 5.0)
+        waiting = gevent.spawn(self.watch, version, 5.0)
         gevent.sleep(0.1)
         self.store.restore(self.store.take_copy())
         self.assertEqual(waiting.get(timeout=3), Err(ReadFault.VERSION_TOO_OLD))
@@ -152,8 +159,17 @@
         self.assertEqual([self.put("c"), self.put("d")][-1], seen)
         last = self.put("e")
         event = WatchEvent(ObjectKey("kind/e"), last, b"{}")
+        result = self.watch(seen)
+        self.assertEqual(result, Ok(WatchBatch(last, [event], Era(2))))
+
+    def test_a_watch_from_an_earlier_era_misses_changes(self):
+        copy = self.store.take_copy()
+        seen = Position([self.put("a"), self.put("b")][-1], self.store.era)
+        self.store.restore(copy)
+        for name in ("c", "d", "e"):
+            self.put(name)
         result = self.client.watch("kind/", seen, 0.1)
-        self.assertEqual(result, Ok(WatchBatch(last, [event])))
+        self.assertEqual(result, Err(ReadFault.VERSION_TOO_OLD))
 
     def test_history_before_the_copy_is_kept_and_later_history_is_gone(self):
         start = self.store.version
@@ -162,8 +178,8 @@
         self.put("b")
         self.store.restore(copy)
         event = WatchEvent(ObjectKey("kind/a"), kept, b"{}")
-        result = self.client.watch("kind/", start, 0.1)
-        self.assertEqual(result, Ok(WatchBatch(kept, [event])))
+        result = self.watch(start)
+        self.assertEqual(result, Ok(WatchBatch(kept, [event], Era(2))))
 
     def send(self, method, path, body=None):
         url = f"http://{self.standin.address}{path}"
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -17,6 +17,7 @@
     Applied,
     Conflict,
     ObjectKey,
+    Position,
     ReadFault,
     Unavailable,
 )
@@ -98,18 +99,22 @@
         )
         self.assertIsInstance(unreachable.put(OBJECT_KEY, b"1", None), Unavailable)
 
+    def watch(self, version, seconds=0.05):
+        position = Position(version, self.standin.store.era)
+        return self.client.watch("settings/", position, seconds)
+
     def test_watches_wait_and_resume_and_report_failures(self):
         first = self.client.put(OBJECT_KEY, b"1", None).version
         gevent.spawn_later(0.1, self.client.put, OBJECT_KEY, b"2", first)
-        events = self.client.watch("settings/", first, 5.0).value
+        events = self.watch(first, 5.0).value
         self.assertEqual([e.value for e in events.items], [b"2"])
-        self.assertEqual(self.client.watch("settings/", 2, 0.05).value.items, [])
+        self.assertEqual(self.watch(2).value.items, [])
         for number in range(MAX_HISTORY_EVENTS + 5):
             self.standin.store.put(ObjectKey(f"other/{number}"), b"", None)
-        old = self.client.watch("settings/", first, 0.05)
+        old = self.watch(first)
         self.assertEqual(old, Err(ReadFault.VERSION_TOO_OLD))
         self.set_faults(cut_watches=True)
-        cut = self.client.watch("settings/", 2, 0.05)
+        cut = self.watch(2)
         self.assertEqual(cut, Err(ReadFault.UNAVAILABLE))
 
 
