Announce a node again when a restored store has lost it

A node that starts while its peers are known to nobody would not have found nodes whose announcement a restore had undone, for up to twenty minutes; and members of other data centres could have counted as dead at once.

Cause: an announcement stood once it was written, until its renewal; ages of announcements and the time for which the store has answered went on across a restore.

Change: messages between nodes carry the highest era of the store that the sender knows, so that all know of a restore, though two nodes a region read the store. Each node then reads its announcement and writes it again if it is gone or another, spread by the size of the fleet. A list of a new era starts the ages anew, one of an earlier era is not used.

--- a/src/fuchsiaspool/components.py
+++ b/src/fuchsiaspool/components.py
@@ -12,6 +12,7 @@
 from .controllers.membership import Membership
 from .controllers.registry import Registry
 from .controllers.settings import SettingsReplica
+from .controllers.store_era import StoreEra
 from .filters.claim import make_claim_filter
 from .filters.trace_recording import make_trace_recording_filter
 from .http.client import ConnectionPool, make_call_sender
@@ -100,10 +101,13 @@
 
     def _build_store(self) -> None:
         address = self.options.platform
+        self.store_era = StoreEra()
         if address is None:
             self.store = make_unavailable_store()
         else:
-            self.store = make_platform_store(address, self.clock, self.rng)
+            self.store = make_platform_store(
+                address, self.clock, self.rng, observe_era=self.store_era.observe
+            )
 
     def _build_operations(self) -> None:
         node = self.options.place.node
@@ -175,6 +179,7 @@
             self.store,
             core.members,
             lambda: self.membership.local_member,
+            get_era=lambda: self.store_era.current,
         )
         self.watch = SettingsWatch(
             self.clock, self.store, self.settings_replica, self.is_watcher, self.rng
@@ -182,6 +187,10 @@
         core.policies.add_listener(lambda policy: self.membership.push_gossip())
         core.members.add_listener(self._remove_dead)
         register_member_handlers(
-            self.bus, self.membership, self.anti_entropy, self.settings_replica
+            self.bus,
+            self.membership,
+            self.anti_entropy,
+            self.settings_replica,
+            self.store_era,
         )
         register_operation_handlers(self.bus, self._commit_router)
--- a/src/fuchsiaspool/controllers/registry.py
+++ b/src/fuchsiaspool/controllers/registry.py
@@ -1,6 +1,7 @@
 """Announce this node in the platform's store and read the other announcements."""
 
 import logging
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
@@ -8,7 +9,7 @@
 import msgspec
 
 from ..clock import Clock
-from ..ids import DataCentre, NodeId, Version
+from ..ids import DataCentre, Era, NodeId, Version
 from ..member_records import Member, MemberState
 from ..platform.objects import (
     Applied,
@@ -16,6 +17,7 @@
     Listing,
     ObjectKey,
     PlatformStore,
+    ReadFault,
     StoredObject,
 )
 from ..results import Err, Ok
@@ -31,6 +33,11 @@
 EXPIRY_GRACE_SECONDS: Final = 2 * LEASE_SECONDS
 # A dead member keeps its announcement for this time, in case it was only cut off.
 DEAD_REMOVAL_DELAY_SECONDS: Final = 30.0
+# Rate at which all nodes together confirm their announcements after a restore of the
+# store. Its limits of calls are several times as high.
+CONFIRMATIONS_PER_SECOND: Final = 100.0
+MIN_CONFIRM_BACKOFF_SECONDS: Final = 0.5
+MAX_CONFIRM_BACKOFF_SECONDS: Final = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,16 +84,20 @@
         table: MemberTable,
         get_local_member: Callable[[], Member],
         leases: LeaseTimes = LeaseTimes(),
+        get_era: Callable[[], Era] = lambda: Era(0),
     ) -> None:
         self.reachable = False
         self.announced = False
         self._leases = leases
+        self._get_era = get_era
         self._clock = clock
         self._store = store
         self._table = table
         self._get_local_member = get_local_member
         self._version: Version | None = None
         self._reachable_since: float | None = None
+        # Of the last list that was read.
+        self._era = Era(0)
         self._observations: dict[ObjectKey, _Observation] = {}
 
     def announce(self) -> bool:
@@ -108,6 +119,41 @@
         self._reachable_since = None if not self.reachable else self._reachable_since
         return False
 
+    def confirm(self) -> bool:
+        """Announce this node again unless its announcement still stands.
+
+        Return whether one stands in the store now.
+        """
+        local = self._get_local_member()
+        match self._store.get(make_announcement_key(local)):
+            case Ok(stored):
+                self._version = stored.version
+                announcement = _decode_announcement(stored)
+                self.announced = announcement is not None and self._is_still_valid(
+                    announcement, local
+                )
+            case Err(ReadFault.NOT_FOUND):
+                self._version = None
+                self.announced = False
+            case Err():
+                return False
+        return self.announced or self.announce()
+
+    def confirm_after_restore(
+        self, rng: random.Random, is_leaving: Callable[[], bool]
+    ) -> None:
+        """Confirm the announcement once the store was restored; block meanwhile.
+
+        The store may have lost it, and then nodes that start later would not find this
+        one.
+        """
+        spread = self._table.count_live() / CONFIRMATIONS_PER_SECOND
+        self._clock.sleep(rng.uniform(0.0, spread))
+        backoff = MIN_CONFIRM_BACKOFF_SECONDS
+        while not is_leaving() and not self.confirm():
+            self._clock.sleep(backoff * rng.uniform(0.7, 1.3))
+            backoff = min(2 * backoff, MAX_CONFIRM_BACKOFF_SECONDS)
+
     def withdraw(self) -> None:
         """Delete the announcement."""
         if self._version is not None:
@@ -130,6 +176,15 @@
             self._reachable_since = None
             self._observations.clear()
             return False
+        if listed.value.era < max(self._era, self._get_era()):
+            # A copy that lags, from before the store was restored.
+            return False
+        if listed.value.era > self._era:
+            # Announcements may be missing until their nodes announce them again, and
+            # versions that were observed may have been given out anew.
+            self._era = listed.value.era
+            self._reachable_since = None
+            self._observations.clear()
         now = self._clock.now()
         if self._reachable_since is None:
             self._reachable_since = now
@@ -161,11 +216,8 @@
     def _merge(self, listing: Listing) -> set[NodeId]:
         alive: set[NodeId] = set()
         for stored in listing.items:
-            try:
-                announcement = msgspec.json.decode(stored.value, type=Announcement)
-            except msgspec.DecodeError:
-                continue
-            if announcement.lease < self._clock.wall():
+            announcement = _decode_announcement(stored)
+            if announcement is None or announcement.lease < self._clock.wall():
                 continue
             alive.add(announcement.member.node)
             local = self._get_local_member()
@@ -247,6 +299,13 @@
         return None
 
 
+def _decode_announcement(stored: StoredObject) -> Announcement | None:
+    try:
+        return msgspec.json.decode(stored.value, type=Announcement)
+    except msgspec.DecodeError:
+        return None
+
+
 def make_announcement_key(member: Member) -> ObjectKey:
     """Return the store key of a member's announcement."""
     return ObjectKey(f"{MEMBERS_PREFIX}{member.data_centre}.{member.node}")
--- a/src/fuchsiaspool/node.py
+++ b/src/fuchsiaspool/node.py
@@ -73,6 +73,7 @@
         self.membership = self.components.membership
         self.claims = self.components.claims
         self._build_listeners()
+        self.components.store_era.add_listener(self._handle_store_restore)
 
     def start(self) -> None:
         """Listen, join the fleet, adopt the newest settings, then serve."""
@@ -229,6 +230,14 @@
             pause = LEASE_RENEWAL_SECONDS if announced else LEASE_RENEWAL_SECONDS / 10
             gevent.sleep(pause * self._rng.uniform(0.8, 1.2))
 
+    def _handle_store_restore(self) -> None:
+        self.membership.push_gossip()
+        self._spawn(
+            self.components.registry.confirm_after_restore,
+            self._rng,
+            lambda: self.state in (NodeState.LEAVING, NodeState.STOPPED),
+        )
+
     def _sweep_loop(self) -> None:
         sweeper = ShardSweeper(self._clock, self.components.store)
         while True:
--- a/src/fuchsiaspool/peers/bus.py
+++ b/src/fuchsiaspool/peers/bus.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from ..addresses import Address, AddressError, parse_address
-from ..ids import Revision
+from ..ids import Era, Revision
 from ..member_records import Member, NodeLocation
 from .messages import (
     Envelope,
@@ -29,6 +29,8 @@
     receive_updates: Callable[[list[Member]], None]
     get_revision: Callable[[], Revision]
     receive_revision: Callable[[Revision, Address], None]
+    get_store_era: Callable[[], Era]
+    receive_store_era: Callable[[Era], None]
 
 
 class PeerBus:
@@ -64,6 +66,7 @@
             self._piggyback.get_revision(),
             self._piggyback.collect_updates(),
             body,
+            self._piggyback.get_store_era(),
         )
         self._transmit(address, encode_envelope(envelope))
 
@@ -78,6 +81,7 @@
             return
         self._piggyback.receive_updates(envelope.updates)
         self._piggyback.receive_revision(envelope.revision, sender)
+        self._piggyback.receive_store_era(envelope.store_era)
         handler = self._handlers.get(type(envelope.body))
         if handler is not None:
             handler(envelope.body, envelope)
--- a/src/fuchsiaspool/peers/messages.py
+++ b/src/fuchsiaspool/peers/messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..ids import DataCentre, NodeId, Revision, SubtreePath
+from ..ids import DataCentre, Era, NodeId, Revision, SubtreePath
 from ..member_records import Member
 from ..operation_records import CommitResult, OperationChange
 
@@ -86,7 +86,10 @@
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
-    """Carry one message with the sender's settings revision and member gossip."""
+    """Carry one message with the sender's settings revision and member gossip.
+
+    `store_era` is the highest era of the store that the sender knows.
+    """
 
     sender: NodeId
     address: str
@@ -94,6 +97,7 @@
     revision: Revision
     updates: list[Member]
     body: PeerMessage
+    store_era: Era = Era(0)
 
 
 encode_envelope: Final = msgspec.msgpack.Encoder().encode
--- a/src/fuchsiaspool/peers/wiring.py
+++ b/src/fuchsiaspool/peers/wiring.py
@@ -5,6 +5,7 @@
 from ..controllers.anti_entropy import AntiEntropy
 from ..controllers.membership import Membership
 from ..controllers.settings import SettingsReplica
+from ..controllers.store_era import StoreEra
 from .bus import PeerBus, Piggyback
 from .messages import (
     Ack,
@@ -22,6 +23,7 @@
     membership: Membership,
     anti_entropy: AntiEntropy,
     settings_replica: SettingsReplica[Any],
+    store_era: StoreEra,
 ) -> None:
     """Route messages and gossip between the bus and the controllers."""
     bus.set_piggyback(
@@ -30,6 +32,8 @@
             membership.receive_updates,
             lambda: settings_replica.revision,
             settings_replica.receive_revision,
+            lambda: store_era.current,
+            store_era.observe,
         )
     )
     bus.register_handler(Ping, membership.receive_ping)
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -363,7 +363,11 @@
             clock, build_routes, self._adopt_routes, self.bus.send
         )
         register_member_handlers(
-            self.bus, self.membership, self.anti_entropy, self.settings_replica
+            self.bus,
+            self.membership,
+            self.anti_entropy,
+            self.settings_replica,
+            self.store_era,
         )
         self.registry = Registry(
             clock,
@@ -371,6 +375,7 @@
             self.members,
             lambda: self.membership.local_member,
             LONG_LEASE_TIMES,
+            lambda: self.store_era.current,
         )
         self.watch = ConfigurationWatch(
             clock,
@@ -395,6 +400,7 @@
         )
         self.server.add_listener(self._apply_reported_slots)
         self.members.add_listener(self._handle_member_change)
+        self.store_era.add_listener(self._handle_store_restore)
 
     def start(self) -> None:
         """Listen, join the fleet, adopt the newest configuration, then serve."""
@@ -583,6 +589,16 @@
         elif member.state is MemberState.ALIVE:
             self.placement.readmit(member.node)
 
+    def _handle_store_restore(self) -> None:
+        # Most nodes do not read the store by themselves for a long time.
+        self.membership.push_gossip()
+        self.membership.push_gossip_to_region()
+        self._spawn(
+            self.registry.confirm_after_restore,
+            self.rng,
+            lambda: self.state in (NodeState.LEAVING, NodeState.STOPPED),
+        )
+
     def _is_watcher(self) -> bool:
         location = self.options.place
         nodes = [
--- a/src/fuchsiaspool/standins/network.py
+++ b/src/fuchsiaspool/standins/network.py
@@ -10,6 +10,7 @@
 from ..controllers.member_table import MemberTable
 from ..controllers.membership import Membership
 from ..controllers.settings import SettingsReplica
+from ..controllers.store_era import StoreEra
 from ..ids import DataCentre, Incarnation, NodeId, Region, ServiceName
 from ..member_records import Member, MemberState, NodeLocation
 from ..peers.bus import PeerBus
@@ -66,9 +67,14 @@
         self.settings_replica = SettingsReplica(
             clock, build_policy, self.policies.put, self.bus.send
         )
+        self.store_era = StoreEra()
         self.policies.add_listener(lambda policy: self.membership.push_gossip())
         register_member_handlers(
-            self.bus, self.membership, self.anti_entropy, self.settings_replica
+            self.bus,
+            self.membership,
+            self.anti_entropy,
+            self.settings_replica,
+            self.store_era,
         )
 
     def tick(self, second: int) -> None:
