Withdraw an announcement whose version a restore has changed

Nodes that start would have met the announcement of a node that had left for good, and tried it until it counted as dead.

Cause: a leaving node deletes under the version that it wrote; a restored store holds the announcement under another, and refuses.

Change: on a conflict the announcement is read and deleted under its present version, unless a later process of the node has written it.

--- a/src/fuchsiaspool/controllers/registry.py
+++ b/src/fuchsiaspool/controllers/registry.py
@@ -155,11 +155,19 @@
             backoff = min(2 * backoff, MAX_CONFIRM_BACKOFF_SECONDS)
 
     def withdraw(self) -> None:
-        """Delete the announcement."""
-        if self._version is not None:
-            self._store.delete(
-                make_announcement_key(self._get_local_member()), self._version
-            )
+        """Delete the announcement, unless a later process has written it.
+
+        A store that was restored from a copy holds it at another version.
+        """
+        if self._version is None:
+            return
+        key = make_announcement_key(self._get_local_member())
+        outcome = self._store.delete(key, self._version)
+        if not isinstance(outcome, Conflict):
+            return
+        match self._store.get(key):
+            case Ok(stored) if self._is_written_here(stored):
+                self._store.delete(key, stored.version)
 
     def read_members(self, allow_stale: bool = False) -> bool:
         """Merge the other announcements and return whether the store answered.
@@ -228,6 +236,13 @@
                 self.announced = True
         return alive
 
+    def _is_written_here(self, stored: StoredObject) -> bool:
+        announcement = _decode_announcement(stored)
+        incarnation = self._get_local_member().incarnation
+        return (
+            announcement is not None and announcement.member.incarnation <= incarnation
+        )
+
     def _is_still_valid(self, announcement: Announcement, local: Member) -> bool:
         updated = msgspec.structs.replace(
             announcement.member, incarnation=local.incarnation, state=local.state
