Spread the fleet's polls from the start on

Callers could see, for as long as a fleet is young, requests handled by an old version of the configuration whenever no watcher of a region reaches the store: the polls of all nodes, which stand in for the watchers, did not happen.

Cause: a node waits half to one and a half intervals (2 s times the nodes) before its first poll, so that nodes that start together send none for as many seconds as there are nodes, and none after a restart of all.

Why it works: the first wait is drawn from the whole interval. The rate is the same from the first second on, one poll each 2 s by all nodes together, at rest as before.

--- a/src/fuchsiaspool/configuration_watch.py
+++ b/src/fuchsiaspool/configuration_watch.py
@@ -78,6 +78,7 @@
         self._fleet = fleet
         self._rng = rng
         self._failures = 0
+        self._has_polled = False
 
     def load(self) -> Version | None:
         """Read and adopt the object; return the version to watch from, if readable."""
@@ -139,15 +140,23 @@
             if self.load() is None or self._settings_replica.revision == 0:
                 self._back_off()
             return
-        interval = FLEET_POLL_SECONDS * self._fleet.count_nodes()
-        wait_left = max(MIN_NODE_POLL_SECONDS, interval * self._rng.uniform(0.5, 1.5))
+        wait_left = self._choose_poll_interval()
         while wait_left > 0:
             self._clock.sleep(min(WATCHER_CHECK_SECONDS, wait_left))
             wait_left -= WATCHER_CHECK_SECONDS
             if self._fleet.is_watcher():
                 return
+        self._has_polled = True
         self._adopt_listing(self._store.list_stale(self._make_prefix()))
 
+    def _choose_poll_interval(self) -> float:
+        interval = FLEET_POLL_SECONDS * self._fleet.count_nodes()
+        interval = max(MIN_NODE_POLL_SECONDS, interval * self._rng.uniform(0.5, 1.5))
+        if self._has_polled:
+            return interval
+        # Nodes that start together are spread over the interval from the first poll on.
+        return interval * self._rng.random()
+
     def _adopt_listing(self, result: Result[Listing, ReadFault]) -> Version | None:
         if isinstance(result, Err):
             self._note_reachable(False)
