Let others watch when the store refuses the watchers

Callers could see "handled by an older version" on every node of a region while the store turns some nodes away and serves others, or while both watchers of the region have lost their path to it.

Cause: two nodes of a region watch. One that has lost the store keeps the duty as long as it lives, and nobody learns of it. Until it is back, only the polls of all nodes find a change, 2 s apart on average at random moments, and those of refused nodes fail. Both watchers that stop at the same time leave the same gap while they restart.

Change: a node that the store has failed, or that stops, tells the first ten nodes in the rendezvous order of its region (`StoreLost`, sent to them alone). For 8 s they pass it over, so the next two watch at once, and tell in turn if they fail too. The first two go on trying and take over again.

Why it works: a refusal is handed on within one message, no matter how long the store refuses; a lost message is sent again with the next failing attempt. Ten candidates bound the requests: if the store is away for all, each asks once in 8 s. Nothing is asked or sent at rest.

--- a/src/fuchsiaspool/configuration_watch.py
+++ b/src/fuchsiaspool/configuration_watch.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
-from .clock import Clock
+from .clock import Clock, Waiter
 from .controllers.settings import SettingsReplica
 from .ids import Revision, SubtreePath, Version
 from .platform.objects import Listing, ObjectKey, PlatformStore, ReadFault
@@ -34,6 +34,8 @@
 MAX_BACKOFF_SECONDS: Final = 2.0
 # Interval at which a node checks if it has become a watcher; this needs no request.
 WATCHER_CHECK_SECONDS: Final = 2.0
+# A shorter wait may not advance a clock, because of rounding.
+MIN_WAIT_SECONDS: Final = 0.001
 # Mean interval between polls, counted over all nodes, so that a change is found even if
 # every watcher is cut off from the platform. The interval has a margin to 2.5 s, which
 # is half of the shortest time within which a change must take effect.
@@ -49,11 +51,13 @@
     count_nodes: number of nodes in the fleet, this one included
     push_to_region: sends gossip about a new revision to the other data centres of
         this region
+    report_lost: tells those that may stand in that this node can't read the store
     """
 
     is_watcher: Callable[[], bool]
     count_nodes: Callable[[], int]
     push_to_region: Callable[[], None]
+    report_lost: Callable[[], None] = lambda: None
 
 
 class ConfigurationWatch:
@@ -79,6 +83,7 @@
         self._rng = rng
         self._failures = 0
         self._has_polled = False
+        self._duty_waiter: Waiter | None = None
 
     def load(self) -> Version | None:
         """Read and adopt the object; return the version to watch from, if readable."""
@@ -100,6 +105,11 @@
                 continue
             since = self.watch(since)
 
+    def review_duty(self) -> None:
+        """Check at once whether this node has become a watcher."""
+        if self._duty_waiter is not None:
+            self._duty_waiter.notify()
+
     def watch(self, since: Version) -> Version | None:
         """Wait once for a change; return the version to go on from.
 
@@ -140,10 +150,10 @@
             if self.load() is None or self._settings_replica.revision == 0:
                 self._back_off()
             return
-        wait_left = self._choose_poll_interval()
-        while wait_left > 0:
-            self._clock.sleep(min(WATCHER_CHECK_SECONDS, wait_left))
-            wait_left -= WATCHER_CHECK_SECONDS
+        poll_at = self._clock.now() + self._choose_poll_interval()
+        while (wait_left := poll_at - self._clock.now()) > MIN_WAIT_SECONDS:
+            self._duty_waiter = self._clock.make_waiter()
+            self._duty_waiter.wait(min(WATCHER_CHECK_SECONDS, wait_left))
             if self._fleet.is_watcher():
                 return
         self._has_polled = True
@@ -189,6 +199,8 @@
     def _note_reachable(self, reachable: bool) -> None:
         if reachable:
             self._failures = 0
+        else:
+            self._fleet.report_lost()
         if self.reachable is reachable:
             return
         self.reachable = reachable
--- /dev/null
+++ b/src/fuchsiaspool/controllers/watch_duty.py
@@ -0,0 +1,96 @@
+"""Assign the watch of the store to members of a region that can reach it.
+
+Handles the pattern in which the store refuses or ignores some nodes and serves others:
+a member that has lost the store tells the few that may stand in for it.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+from ..addresses import Address, parse_address
+from ..clock import Clock
+from ..ids import NodeId
+from ..member_records import Member, MemberState
+from ..peers.messages import Envelope, StoreLost
+from .member_table import MemberTable
+from .subsets import hash_pair
+
+# Nodes of a region that watch the store; the others get changes by gossip. Two, so that
+# one may fail; a third would only add requests.
+WATCHERS_PER_REGION: Final = 2
+# The watchers and those that may stand in for them. Each asks the store at most once in
+# `LOST_SECONDS` if it is away for all, so their number bounds the requests.
+CANDIDATES_PER_REGION: Final = 10
+# Longer than a watcher without the store takes from one attempt to the next, and than a
+# node takes to restart.
+LOST_SECONDS: Final = 8.0
+# A node without a server, or one that restarts, remains a watcher.
+_WATCHER_STATES: Final = (MemberState.ALIVE, MemberState.LEAVING)
+_DUTY: Final = "watch"
+
+
+class WatchDuty:
+    """Rank the members of the region by rendezvous hashing; pass over those without it.
+
+    `react` is called when another member has lost the store.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        get_local_member: Callable[[], Member],
+        table: MemberTable,
+        send: Callable[[Address, StoreLost], None],
+        react: Callable[[], None],
+    ) -> None:
+        self._clock = clock
+        self._get_local_member = get_local_member
+        self._table = table
+        self._send = send
+        self._react = react
+        self._lost_at: dict[NodeId, float] = {}
+
+    def is_assigned(self) -> bool:
+        """Return whether this node is to watch.
+
+        The first members keep trying, so that they notice when the store is back.
+        """
+        node = self._get_local_member().node
+        ranked = [member.node for member in self._rank_candidates()]
+        able = [candidate for candidate in ranked if not self._has_lost(candidate)]
+        return node in ranked[:WATCHERS_PER_REGION] + able[:WATCHERS_PER_REGION]
+
+    def report_lost(self) -> None:
+        """Tell those that may stand in that this node does not watch for a while."""
+        local = self._get_local_member()
+        self._lost_at[local.node] = self._clock.now()
+        for member in self._rank_candidates():
+            if member.node != local.node:
+                self._send(parse_address(member.peers), StoreLost())
+
+    def receive_lost(self, message: StoreLost, envelope: Envelope) -> None:
+        """Record that a member has lost the store."""
+        # Only members are ranked, so other entries do no harm but take memory.
+        if self._table.find(envelope.sender) is None:
+            return
+        self._lost_at[envelope.sender] = self._clock.now()
+        self._react()
+
+    def _has_lost(self, node: NodeId) -> bool:
+        lost_at = self._lost_at.get(node)
+        if lost_at is None:
+            return False
+        if self._clock.now() - lost_at < LOST_SECONDS:
+            return True
+        del self._lost_at[node]
+        return False
+
+    def _rank_candidates(self) -> list[Member]:
+        region = self._get_local_member().region
+        members = [
+            member
+            for member in self._table.list_all()
+            if member.region == region and member.state in _WATCHER_STATES
+        ]
+        members.sort(key=lambda member: (hash_pair(_DUTY, member.node), member.node))
+        return members[:CANDIDATES_PER_REGION]
--- a/src/fuchsiaspool/peers/messages.py
+++ b/src/fuchsiaspool/peers/messages.py
@@ -57,6 +57,10 @@
     texts: dict[SubtreePath, str]
 
 
+class StoreLost(msgspec.Struct, frozen=True, array_like=True, tag="store-lost"):
+    """Tell members of the region that the sender does not watch the store."""
+
+
 class CommitRequest(msgspec.Struct, frozen=True, array_like=True, tag="commit-ask"):
     """Request the commit of a change from the owner of a shard."""
 
@@ -80,6 +84,7 @@
     | Sync
     | SettingsRequest
     | SettingsUpdate
+    | StoreLost
     | CommitRequest
     | CommitReply
 )
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -18,7 +18,6 @@
 from .controllers.anti_entropy import (
     SYNC_PERIOD_SECONDS,
     AntiEntropy,
-    is_assigned,
 )
 from .controllers.availability import make_availability_updater
 from .controllers.backend_server import BackendServer, ServerState
@@ -36,6 +35,7 @@
 from .controllers.settings import SettingsReplica
 from .controllers.threshold import LearnedThresholds
 from .controllers.token_bucket import TokenBucket
+from .controllers.watch_duty import WatchDuty
 from .controllers.weighted_round_robin import WeightedRoundRobin
 from .filters.access_log import (
     LocalServerView,
@@ -64,6 +64,7 @@
 from .options import PlatformOptions, merge_options
 from .outcomes import NotRunReason, Outcome
 from .peers.bus import PeerBus
+from .peers.messages import StoreLost
 from .peers.transport import PeerTransport
 from .peers.wiring import register_member_handlers
 from .platform.client import make_platform_store
@@ -88,9 +89,6 @@
 from .routes import EMPTY_ROUTE_TABLE, RouteTable
 
 _LOG = logging.getLogger(__name__)
-# Nodes of a region that watch the store; the others get changes by gossip. Two, so that
-# one may fail; a third would only add requests.
-WATCHERS_PER_REGION: Final = 2
 # Pause between probes of a server that has not sent a heartbeat yet.
 PROBE_PAUSE_SECONDS: Final = 0.25
 # Pauses before further reads of the members after a start: nodes that start at the same
@@ -128,8 +126,6 @@
 PEER_DEADLINE_GRACE_SECONDS: Final = 0.1
 PEER_IDLE_TIMEOUT_SECONDS: Final = 60.0
 SERVER_DEADLINE_GRACE_SECONDS: Final = 0.05
-# A node without a server, or one that restarts, remains a watcher.
-_WATCHER_STATES: Final = (MemberState.ALIVE, MemberState.LEAVING)
 _MILLISECONDS_PER_SECOND: Final = 1000
 
 
@@ -365,6 +361,14 @@
             lambda: self.membership.local_member,
             LONG_LEASE_TIMES,
         )
+        self.watch_duty = WatchDuty(
+            clock,
+            lambda: self.membership.local_member,
+            self.members,
+            self.bus.send,
+            lambda: self.watch.review_duty(),
+        )
+        self.bus.register_handler(StoreLost, self.watch_duty.receive_lost)
         self.watch = ConfigurationWatch(
             clock,
             self.store,
@@ -375,6 +379,7 @@
                 self._is_watcher,
                 self.members.count_live,
                 self.membership.push_gossip_to_region,
+                self.watch_duty.report_lost,
             ),
             self.rng,
         )
@@ -414,6 +419,8 @@
         started = self.clock.now()
         drain_deadline = started + self.options.grace * (1 - EXIT_GRACE_SHARE)
         self.membership.leave()
+        # It goes on watching until it exits; the others are to watch before that.
+        self.watch_duty.report_lost()
         if self.server.state is not ServerState.READY:
             # The server has gone, and its instance with it. With a ready server this
             # node only restarts: peers know that it leaves, and will find it again.
@@ -576,16 +583,8 @@
             self.placement.readmit(member.node)
 
     def _is_watcher(self) -> bool:
-        location = self.options.place
-        nodes = [
-            member.node
-            for member in self.members.list_all()
-            if member.region == location.region and member.state in _WATCHER_STATES
-        ]
         # A node that receives nothing from peers has to read the store itself.
-        return self.membership.isolated or is_assigned(
-            location.node, nodes, "watch", WATCHERS_PER_REGION
-        )
+        return self.membership.isolated or self.watch_duty.is_assigned()
 
     def _run_periodically(self, seconds: float, action: Callable[[], None]) -> None:
         gevent.sleep(seconds * self.rng.random())
--- a/tests/test_configuration_faults.py
+++ b/tests/test_configuration_faults.py
@@ -2,19 +2,162 @@
 
 import unittest
 
-from .test_configuration import CHANGE_LIMIT_SECONDS, Fleet
+import gevent
 
-SEEDS = 1000
+from fuchsiaspool.configuration_watch import (
+    WATCH_TIMEOUT_SECONDS,
+    ConfigurationWatch,
+    FleetView,
+)
+from fuchsiaspool.controllers.member_table import MemberTable
+from fuchsiaspool.controllers.watch_duty import LOST_SECONDS, WatchDuty
+from fuchsiaspool.ids import DataCentre, Revision, Version
+from fuchsiaspool.peers.messages import Envelope, StoreLost
+from fuchsiaspool.platform.objects import PlatformStore, ReadFault, WatchBatch
+from fuchsiaspool.results import Err, Ok
 
+from .sidecar_case import SidecarTestCase
+from .support import make_member
+from .test_configuration import (
+    CHANGE_LIMIT_SECONDS,
+    CONFIGURATION_KEY,
+    CONFIGURATION_PATH,
+    Fleet,
+)
 
-def measure_change(seed, count, make_fleet=Fleet, refused_share=0.0):
+# The users' limit for a change to take effect where the store serves all nodes.
+CALM_LIMIT_SECONDS = 2.5
+# Time that the client waits for an answer, its margins included.
+LIST_TIMEOUT_SECONDS = 1.2
+SILENT_WATCH_SECONDS = WATCH_TIMEOUT_SECONDS + 2.2
+PEER_DELAYS_SECONDS = (0.001, 0.3)
+MESSAGE_LOSS = 0.05
+
+
+class DutyFleet(Fleet):
+    """Let nodes tell each other that they have lost the store.
+
+    The store refuses the unreachable nodes, or never answers them if `silent` is set.
+    """
+
+    def __init__(self, count, seed, silent=False):
+        super().__init__(0, ())
+        self.rng.seed(seed)
+        self.silent = silent
+        self.sent = 0
+        self.table = MemberTable()
+        self.duties = []
+        self.watches = []
+        self.members = [
+            make_member(f"n{node}", peers=f"127.0.0.1:{node + 1}")
+            for node in range(count)
+        ]
+        for member in self.members:
+            self.table.merge(member)
+        for node, member in enumerate(self.members):
+            self.recorders.append(self.make_recorder())
+            duty = WatchDuty(
+                self.clock,
+                lambda member=member: member,
+                self.table,
+                lambda address, body, node=node: self.send(node, address, body),
+                lambda node=node: self.watches[node].review_duty(),
+            )
+            self.duties.append(duty)
+            watch = ConfigurationWatch(
+                self.clock,
+                self.connect(node),
+                CONFIGURATION_KEY,
+                CONFIGURATION_PATH,
+                self.recorders[node],
+                FleetView(
+                    duty.is_assigned,
+                    lambda: count,
+                    lambda node=node: self.push_to_region(node),
+                    duty.report_lost,
+                ),
+                self.rng,
+            )
+            self.watches.append(watch)
+            self.clock.spawn(watch.run)
+        self.first_watchers = [
+            node for node in range(count) if self.duties[node].is_assigned()
+        ]
+
+    def make_recorder(self):
+        return Fleet(1, ()).recorders[0]
+
+    def send(self, node, address, body):
+        self.sent += 1
+        if self.rng.random() < MESSAGE_LOSS:
+            return
+        receiver = self.duties[address.port - 1]
+        member = self.members[node]
+        envelope = Envelope(
+            member.node, member.peers, DataCentre("north-1"), Revision(0), [], body
+        )
+        delay = self.rng.uniform(*PEER_DELAYS_SECONDS)
+        self.clock.call_later(delay, lambda: receiver.receive_lost(body, envelope))
+
+    def connect(self, node):
+        def is_unreachable():
+            return node in self.unreachable_nodes
+
+        def list_all(kind):
+            def read(prefix):
+                self.calls[kind] += 1
+                if not is_unreachable():
+                    self.clock.sleep(0.004)
+                    return Ok(self.store.list_prefix(prefix))
+                self.clock.sleep(LIST_TIMEOUT_SECONDS if self.silent else 0.004)
+                return Err(ReadFault.UNAVAILABLE)
+
+            return read
+
+        def watch(key, version, seconds):
+            self.calls["watch"] += 1
+            started = self.clock.now()
+            while self.clock.now() < started + seconds:
+                self.clock.sleep(0.05)
+                if is_unreachable():
+                    if self.silent:
+                        left = started + SILENT_WATCH_SECONDS - self.clock.now()
+                        self.clock.sleep(left)
+                    return Err(ReadFault.UNAVAILABLE)
+                if self.store.version > version:
+                    changed = self.store.objects[CONFIGURATION_KEY]
+                    return Ok(WatchBatch(changed.version, [changed]))
+            return Ok(WatchBatch(Version(self.store.version), []))
+
+        return PlatformStore(
+            None, None, None, list_all("list"), list_all("stale"), watch
+        )
+
+    def cut_off_watchers(self, share):
+        """Cut off the watchers and others, up to a share of the nodes."""
+        others = [n for n in range(len(self.members)) if n not in self.first_watchers]
+        count = max(0, int(len(self.members) * share) - len(self.first_watchers))
+        self.unreachable_nodes |= {*self.first_watchers}
+        self.unreachable_nodes |= {*self.rng.sample(others, count)}
+
+    def measure_change(self, limit=60.0):
+        """Store a revision; return the seconds until all nodes have it."""
+        self.store_revision()
+        changed_at = self.clock.now()
+        while self.count_up_to_date() < len(self.recorders):
+            self.clock.advance(0.1)
+            if self.clock.now() - changed_at > limit:
+                break
+        return self.clock.now() - changed_at
+
+
+def measure_polled_change(seed, count):
     """Return the seconds until any node has a change that no watcher can read."""
-    fleet = make_fleet(count, (0, 1))
+    fleet = Fleet(count, (0, 1))
     fleet.rng.seed(seed)
     fleet.store_revision()
     fleet.clock.advance(10.0)
-    refused = max(0, int(count * refused_share) - 2)
-    fleet.unreachable_nodes |= {0, 1, *fleet.rng.sample(range(2, count), refused)}
+    fleet.unreachable_nodes |= {0, 1}
     fleet.clock.advance(1.0)
     version = fleet.store_revision()
     changed_at = fleet.clock.now()
@@ -29,11 +172,87 @@
     def test_polls_begin_soon_after_all_nodes_start_together(self):
         for count, seeds in ((18, 200), (40, 200), (195, 40)):
             with self.subTest(nodes=count):
-                delays = sorted(measure_change(seed, count) for seed in range(seeds))
+                delays = sorted(
+                    measure_polled_change(seed, count) for seed in range(seeds)
+                )
                 # A poll each 2 s on average, at random moments.
                 self.assertLessEqual(delays[seeds // 2], 2.5)
                 self.assertLessEqual(delays[int(0.9 * seeds)], CHANGE_LIMIT_SECONDS)
 
 
+class HandoverTests(unittest.TestCase):
+    def measure_changes(self, count, seeds, share, wait, silent=False):
+        """Return the sorted delays of a change sent `wait` after watchers were cut."""
+        delays = []
+        for seed in range(seeds):
+            fleet = DutyFleet(count, seed, silent)
+            fleet.store_revision()
+            fleet.clock.advance(10.0)
+            fleet.cut_off_watchers(share)
+            fleet.clock.advance(wait)
+            delays.append(fleet.measure_change())
+        return sorted(delays)
+
+    def test_others_watch_when_the_store_refuses_only_the_watchers(self):
+        for count, seeds in ((18, 100), (40, 20), (195, 3)):
+            for wait in (0.0, 20.0):
+                with self.subTest(nodes=count, wait=wait):
+                    delays = self.measure_changes(count, seeds, 0.0, wait)
+                    self.assertLessEqual(delays[-1], CALM_LIMIT_SECONDS)
+
+    def test_others_watch_when_the_store_refuses_half_of_the_nodes(self):
+        for count, seeds in ((18, 100), (40, 20), (195, 3)):
+            for wait in (0.0, 20.0):
+                with self.subTest(nodes=count, wait=wait):
+                    delays = self.measure_changes(count, seeds, 0.5, wait)
+                    late = sum(delay > CHANGE_LIMIT_SECONDS for delay in delays)
+                    self.assertLessEqual(late, 0.002 * seeds)
+
+    def test_stand_ins_ask_rarely_while_the_store_is_away_for_all(self):
+        for count in (18, 195):
+            with self.subTest(nodes=count):
+                fleet = DutyFleet(count, 1)
+                fleet.store_revision()
+                fleet.clock.advance(10.0)
+                fleet.unreachable_nodes |= set(range(count))
+                fleet.clock.advance(5.0)
+                fleet.calls.clear()
+                fleet.clock.advance(60.0)
+                # Two watchers each second at most, the others once in `LOST_SECONDS`.
+                limit = 2 * 60 / 1.0 + 8 * 60 / LOST_SECONDS
+                self.assertLessEqual(fleet.calls["list"] + fleet.calls["watch"], limit)
+                fleet.unreachable_nodes.clear()
+                self.assertLessEqual(fleet.measure_change(), 3.5)
+                # Then the first two alone watch again.
+                fleet.clock.advance(60.0)
+                assigned = [n for n, d in enumerate(fleet.duties) if d.is_assigned()]
+                self.assertEqual(assigned, fleet.first_watchers)
+
+    def test_others_watch_before_stopping_watchers_exit(self):
+        fleet = DutyFleet(18, 1)
+        fleet.store_revision()
+        fleet.clock.advance(10.0)
+        for node in fleet.first_watchers:
+            fleet.duties[node].report_lost()
+        fleet.clock.advance(1.0)
+        fleet.unreachable_nodes |= set(fleet.first_watchers)
+        self.assertLessEqual(fleet.measure_change(), 0.5)
+
+    def test_report_of_an_unknown_node_is_ignored(self):
+        fleet = DutyFleet(18, 1)
+        stranger = Envelope("x", "127.0.0.1:9", DataCentre("x"), Revision(0), [], None)
+        fleet.duties[0].receive_lost(StoreLost(), stranger)
+        self.assertEqual(fleet.duties[0]._lost_at, {})
+
+
+class NodeTests(SidecarTestCase):
+    def test_node_that_stops_tells_others_that_it_does_not_watch(self):
+        self.start_pair()
+        self.await_condition(lambda: self.edge.members.find("deep"))
+        stopping = gevent.spawn(self.deep.stop)
+        self.await_condition(lambda: "deep" in self.edge.watch_duty._lost_at)
+        stopping.join()
+
+
 if __name__ == "__main__":
     unittest.main()
