--- a/src/fuchsiaspool/configuration_watch.py
+++ b/src/fuchsiaspool/configuration_watch.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
-from .clock import Clock
+from .clock import Clock, Waiter
 from .controllers.settings import SettingsReplica
 from .ids import Revision, SubtreePath
 from .platform.objects import Listing, ObjectKey, PlatformStore, Position, ReadFault
@@ -34,6 +34,8 @@
 MAX_BACKOFF_SECONDS: Final = 2.0
 # Interval at which a node checks if it has become a watcher; this needs no request.
 WATCHER_CHECK_SECONDS: Final = 2.0
+# A shorter wait may not advance a clock, because of rounding.
+MIN_WAIT_SECONDS: Final = 0.001
 # Mean interval between polls, counted over all nodes, so that a change is found even if
 # every watcher is cut off from the platform. The interval has a margin to 2.5 s, which
 # is half of the shortest time within which a change must take effect.
@@ -49,11 +51,13 @@
     count_nodes: number of nodes in the fleet, this one included
     push_to_region: sends gossip about a new revision to the other data centres of
         this region
+    report_lost: tells those that may stand in that this node can't read the store
     """
 
     is_watcher: Callable[[], bool]
     count_nodes: Callable[[], int]
     push_to_region: Callable[[], None]
+    report_lost: Callable[[], None] = lambda: None
 
 
 class ConfigurationWatch:
@@ -83,6 +87,8 @@
         self._fleet = fleet
         self._rng = rng
         self._failures = 0
+        self._has_polled = False
+        self._duty_waiter: Waiter | None = None
 
     def load(self) -> Position | None:
         """Read and adopt the object; return the position to watch from, if readable."""
@@ -104,6 +110,11 @@
                 continue
             since = self.watch(since)
 
+    def review_duty(self) -> None:
+        """Check at once whether this node has become a watcher."""
+        if self._duty_waiter is not None:
+            self._duty_waiter.notify()
+
     def watch(self, since: Position) -> Position | None:
         """Wait once for a change; return the position to go on from.
 
@@ -144,15 +155,23 @@
             if self.load() is None or self._settings_replica.revision == 0:
                 self._back_off()
             return
-        interval = FLEET_POLL_SECONDS * self._fleet.count_nodes()
-        wait_left = max(MIN_NODE_POLL_SECONDS, interval * self._rng.uniform(0.5, 1.5))
-        while wait_left > 0:
-            self._clock.sleep(min(WATCHER_CHECK_SECONDS, wait_left))
-            wait_left -= WATCHER_CHECK_SECONDS
+        poll_at = self._clock.now() + self._choose_poll_interval()
+        while (wait_left := poll_at - self._clock.now()) > MIN_WAIT_SECONDS:
+            self._duty_waiter = self._clock.make_waiter()
+            self._duty_waiter.wait(min(WATCHER_CHECK_SECONDS, wait_left))
             if self._fleet.is_watcher():
                 return
+        self._has_polled = True
         self._adopt_listing(self._store.list_stale(self._make_prefix()))
 
+    def _choose_poll_interval(self) -> float:
+        interval = FLEET_POLL_SECONDS * self._fleet.count_nodes()
+        interval = max(MIN_NODE_POLL_SECONDS, interval * self._rng.uniform(0.5, 1.5))
+        if self._has_polled:
+            return interval
+        # Nodes that start together are spread over the interval from the first poll on.
+        return interval * self._rng.random()
+
     def _adopt_listing(self, result: Result[Listing, ReadFault]) -> Position | None:
         if isinstance(result, Err):
             self._note_reachable(False)
@@ -189,6 +208,8 @@
     def _note_reachable(self, reachable: bool) -> None:
         if reachable:
             self._failures = 0
+        else:
+            self._fleet.report_lost()
         if self.reachable is reachable:
             return
         self.reachable = reachable
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -23,6 +23,10 @@
 CHANGE_LIMIT_SECONDS = 2.5 + 5.0
 
 
+def read_stored_revision(value):
+    return Ok(Revision(int(value)))
+
+
 class RevisionRecorder:
     """Record the newest revision that a node has adopted."""
 
@@ -53,7 +57,7 @@
                 self.connect(node),
                 CONFIGURATION_KEY,
                 CONFIGURATION_PATH,
-                lambda value: Ok(Revision(int(value))),
+                read_stored_revision,
                 self.recorders[node],
                 FleetView(
                     lambda node=node: self.is_watcher(node),
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -16,15 +16,12 @@
     Registry,
     make_announcement_key,
 )
+from fuchsiaspool.controllers.watch_duty import WATCHERS_PER_REGION
 from fuchsiaspool.member_records import MemberState
 from fuchsiaspool.platform.client import make_platform_store
 from fuchsiaspool.platform.configuration import CONFIGURATION_KEY
 from fuchsiaspool.platform.objects import ObjectKey
-from fuchsiaspool.sidecar import (
-    MEMBER_REREAD_PAUSES_SECONDS,
-    WATCHERS_PER_REGION,
-    NodeState,
-)
+from fuchsiaspool.sidecar import MEMBER_REREAD_PAUSES_SECONDS, NodeState
 from fuchsiaspool.standins.platform import PlatformStandin, StoreCopy
 
 from .sidecar_case import SidecarTestCase, StubServer, make_route
