End a watch that was sent before a restore

A change could stay unseen for up to 28 s: a watch that reaches the store after its restore, for a revision that it has given out again, waits in silence, so that its answer can't tell the new era.

Cause: the era was compared with the answer only.

Change: once a node knows of a restore from a peer or from another answer, it ends its waiting watch and reads the configuration again. Both tests on watches wait until both nodes watch before they begin; one had been taken at a moment when one of them did not yet.

--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -152,6 +152,7 @@
         self.route_table: RouteTable = EMPTY_ROUTE_TABLE
         self._calls_in_flight: dict[int, Call] = {}
         self._tasks: list[gevent.Greenlet] = []
+        self._watch_task = gevent.Greenlet()
         self.histograms = Histograms()
         self.counters = OutcomeCounters()
         self.members = MemberTable()
@@ -416,7 +417,7 @@
         self._inbound_server.start()
         self._spawn(self._join_loop)
         self._spawn(self._probe_server)
-        self._spawn(self.watch.run)
+        self._watch_task = gevent.spawn(self.watch.run)
         self._spawn(self._run_periodically, PING_PERIOD_SECONDS, self.membership.tick)
         self._spawn(self._run_periodically, SYNC_PERIOD_SECONDS, self.anti_entropy.tick)
         self._spawn(
@@ -456,7 +457,7 @@
         for call in self._calls_in_flight.values():
             _LOG.error("call cut off", extra={"request": call.request})
         self.state = NodeState.STOPPED
-        gevent.killall(self._tasks, block=False)
+        gevent.killall([*self._tasks, self._watch_task], block=False)
         _LOG.info(
             "stopped",
             extra={
@@ -493,7 +494,7 @@
     def abort(self) -> None:
         """Stop at once; calls in flight are cut off."""
         self.state = NodeState.STOPPED
-        gevent.killall(self._tasks, block=False)
+        gevent.killall([*self._tasks, self._watch_task], block=False)
         for server in (self._outbound_server, self._inbound_server):
             server.kill()
         for endpoint in self._endpoint_servers:
@@ -597,6 +598,7 @@
             self.placement.readmit(member.node)
 
     def _handle_store_restore(self) -> None:
+        self._restart_watch()
         # Most nodes do not read the store by themselves for a long time.
         self.membership.push_gossip()
         self.membership.push_gossip_to_region()
@@ -606,6 +608,13 @@
             lambda: self.state in (NodeState.LEAVING, NodeState.STOPPED),
         )
 
+    def _restart_watch(self) -> None:
+        # A watch sent before the restore may wait for a revision of the earlier era.
+        if gevent.getcurrent() is self._watch_task or self.state is NodeState.STOPPED:
+            return
+        self._watch_task.kill(block=False)
+        self._watch_task = gevent.spawn(self.watch.run)
+
     def _is_watcher(self) -> bool:
         # A node that receives nothing from peers has to read the store itself.
         return self.membership.isolated or self.watch_duty.is_assigned()
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -173,6 +173,7 @@
         self.advance_revision(30)
         copy = self.store.take_copy()
         # The watches that follow version 9 arrive at the store after the restore.
+        self.await_condition(lambda: self.platform.request_counts.watches >= 2)
         watches = self.platform.request_counts.watches
         self.platform.faults.delay = 1.0
         self.write_configuration(9, revision=40)
@@ -188,6 +189,30 @@
         self.platform.faults.delay = 0.0
         self.await_served(11, self.nodes)
 
+    def test_a_watch_that_waits_for_a_revision_of_the_earlier_era_misses_no_change(
+        self,
+    ):
+        self.start_pair()
+        self.advance_revision(30)
+        copy = self.store.take_copy()
+        self.await_condition(lambda: self.platform.request_counts.watches >= 2)
+        watches = self.platform.request_counts.watches
+        self.platform.faults.delay = 1.0
+        self.write_configuration(9, revision=40)
+        self.await_served(9, self.nodes)
+        self.await_condition(
+            lambda: self.platform.request_counts.watches == watches + 2
+        )
+        self.store.restore(copy)
+        self.write_configuration(11, revision=33)
+        # The store has the revision again and nothing to tell, so no answer comes.
+        self.advance_revision(45)
+        self.platform.faults.delay = 0.0
+        gevent.sleep(1.2)
+        # Another node tells of the restore.
+        self.start_idle_node("late")
+        self.await_served(11, self.nodes)
+
     def test_a_node_cut_off_during_the_restore_adopts_the_newest_configuration(self):
         self.start_pair()
         self.advance_revision(30)
