--- /dev/null
+++ b/tests/test_review_lost.py
@@ -0,0 +1,648 @@
+"""Test ways in which a whole request may end without a complete answer."""
+
+import collections
+import contextlib
+import itertools
+import json
+import os
+import resource
+import signal
+import subprocess
+import sys
+import tempfile
+
+import gevent
+import gevent.event
+import gevent.socket
+import urllib3
+from gevent.monkey import get_original
+
+from fuchsiaspool.bodies import Body
+from fuchsiaspool.clock import SystemClock
+from fuchsiaspool.http.answer_format import DEFAULT_ANSWER_FORMAT, AnswerFormat
+from fuchsiaspool.http.server import HttpServer, Reply
+from fuchsiaspool.outcomes import Answered, NotRun, NotRunReason
+from fuchsiaspool.platform.client import make_platform_store
+from fuchsiaspool.platform.configuration import CONFIGURATION_KEY
+
+from .sidecar_case import CONFIGURATION, SidecarTestCase, StubServer
+from .support import allocate_address
+from .test_sidecar_process import SETTINGS
+
+REQUEST = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+LARGE_BODY = b"x" * 8_000_000
+block_event_loop = get_original("time", "sleep")
+
+
+def make_request(attempt="a1", method="GET", path="/read/1"):
+    return (
+        f"{method} {path} HTTP/1.1\r\nHost: h.example\r\n"
+        f"Fuchsiaspool-Attempt-Id: {attempt}\r\nFuchsiaspool-Deadline-Ms: 900\r\n\r\n"
+    ).encode()
+
+
+def receive_until(socket, end, timeout=2.0):
+    """Return what arrives until `end`, a close or the timeout."""
+    socket.settimeout(timeout)
+    data = b""
+    try:
+        while end not in data:
+            piece = socket.recv(65536)
+            if not piece:
+                break
+            data += piece
+    except OSError as error:
+        return data + b" <%s>" % repr(error).encode()
+    return data
+
+
+class Load:
+    """Send requests on kept and new connections until none can be opened."""
+
+    def __init__(self, connect, path="/read/1", callers=40):
+        self.unanswered = []
+        self.answered = 0
+        self.statuses = collections.Counter()
+        self._connect = connect
+        self._path = path
+        self._numbers = itertools.count()
+        self._callers = [gevent.spawn(self._call_often) for _ in range(callers)]
+
+    def wait(self):
+        gevent.joinall(self._callers, timeout=4)
+
+    def find_lost(self, server):
+        name = "fuchsiaspool-attempt-id"
+        passed_on = {request.headers.get(name) for request in server.requests}
+        return passed_on.intersection(self.unanswered)
+
+    def describe(self):
+        return f"{self.answered} answered, {len(self.unanswered)} not"
+
+    def _call_often(self):
+        socket = None
+        while True:
+            attempt = f"n{next(self._numbers)}"
+            try:
+                socket = socket or self._connect()
+            except OSError:
+                return
+            try:
+                socket.sendall(make_request(attempt, path=self._path))
+                received = receive_until(socket, b"\r\n\r\n", 3.0)
+            except OSError:
+                received = b""
+            if not received.startswith(b"HTTP/1.1"):
+                self.unanswered.append(attempt)
+                socket = None
+                continue
+            self.answered += 1
+            self.statuses[int(received[9:12])] += 1
+            if b"connection: close" in received.lower():
+                socket = None
+            gevent.sleep(0.01)
+
+
+class ServerTests(SidecarTestCase):
+    def setUp(self):
+        """Start no platform."""
+        self.handled = []
+
+    def start_server(self, handle=None, idle_timeout=60.0, **fields):
+        def answer(request):
+            self.handled.append(request.head.target)
+            return Reply(Answered(200, [], Body(b"done")), [], lambda delivered: None)
+
+        answer_format = AnswerFormat(
+            DEFAULT_ANSWER_FORMAT.filter_answer_headers,
+            DEFAULT_ANSWER_FORMAT.choose_status,
+            DEFAULT_ANSWER_FORMAT.format_retry_after,
+            lambda: idle_timeout,
+        )
+        self.server = HttpServer(
+            allocate_address(), handle or answer, answer_format=answer_format, **fields
+        )
+        self.server.start()
+        self.addCleanup(self.server.kill)
+
+    def connect(self, plain=False):
+        module = get_original("socket", "create_connection") if plain else None
+        connect = module or gevent.socket.create_connection
+        socket = connect((self.server.address.host, self.server.address.port))
+        self.addCleanup(socket.close)
+        return socket
+
+    def test_an_error_in_a_handler_ends_the_connection_without_an_answer(self):
+        def fail(request):
+            raise KeyError("a fault of the program")
+
+        self.start_server(fail)
+        socket = self.connect()
+        socket.sendall(REQUEST)
+        self.assertIn(b"HTTP/1.1 50", receive_until(socket, b"\r\n\r\n"))
+
+    def test_a_stop_waits_for_a_free_place_in_a_full_pool(self):
+        self.start_server(max_connections=1)
+        self.connect()
+        gevent.sleep(0.05)
+        self.connect()
+        gevent.sleep(0.05)
+        with gevent.Timeout(1.0, AssertionError("stop_accepting still waits")):
+            self.server.stop_accepting()
+
+    def test_an_idle_timeout_closes_although_a_request_has_arrived(self):
+        self.start_server(idle_timeout=0.3)
+        socket = self.connect()
+        socket.sendall(REQUEST)
+        self.assertIn(b"done", receive_until(socket, b"done"))
+        gevent.sleep(0.2)
+        # Four fifths of the limit at most: sent 0.24 s after the answer.
+        block_event_loop(0.03)
+        socket.sendall(REQUEST)
+        block_event_loop(0.15)
+        self.assertIn(b"done", receive_until(socket, b"done"))
+
+    def test_the_idle_timeout_cuts_a_head_that_has_begun(self):
+        self.start_server(idle_timeout=0.3)
+        socket = self.connect()
+        socket.sendall(REQUEST)
+        receive_until(socket, b"done")
+        gevent.sleep(0.22)
+        socket.sendall(REQUEST[:10])
+        gevent.sleep(0.15)
+        socket.sendall(REQUEST[10:])
+        self.assertIn(b"done", receive_until(socket, b"done"))
+
+    def test_the_short_timeout_of_a_stop_cuts_a_head_that_has_begun(self):
+        self.start_server()
+        socket = self.connect(plain=True)
+        self.server.stop_accepting()
+        socket.sendall(REQUEST[:10])
+        gevent.sleep(0.6)
+        try:
+            socket.sendall(REQUEST[10:])
+        except OSError as error:
+            self.fail(f"closed: {error!r}")
+        kept = gevent.socket.socket(fileno=socket.detach())
+        self.addCleanup(kept.close)
+        self.assertIn(b"done", receive_until(kept, b"done"))
+
+    def test_a_stop_drops_a_pipelined_request_that_was_read(self):
+        started = gevent.event.Event()
+
+        def answer(request):
+            started.set()
+            gevent.sleep(0.2)
+            return Reply(
+                Answered(200, [], Body(request.head.target)), [], lambda delivered: None
+            )
+
+        self.start_server(answer)
+        socket = self.connect()
+        socket.sendall(REQUEST + REQUEST.replace(b"/x", b"/second"))
+        started.wait()
+        self.server.stop_accepting()
+        self.assertIn(b"/second", receive_until(socket, b"/second"))
+
+    def check_large_answer(self, extra):
+        started = gevent.event.Event()
+
+        def answer(request):
+            started.set()
+            gevent.sleep(0.1)
+            return Reply(
+                Answered(200, [], Body(LARGE_BODY)), [], lambda delivered: None
+            )
+
+        self.start_server(answer)
+        socket = self.connect()
+        socket.sendall(REQUEST)
+        started.wait()
+        if extra:
+            socket.sendall(extra)
+        self.server.stop_accepting()
+        received = 0
+        socket.settimeout(3.0)
+        try:
+            while piece := socket.recv(65536):
+                received += len(piece)
+                gevent.sleep(0.001)
+        except OSError as error:
+            self.fail(f"{received} bytes, then {error!r}")
+        self.assertGreater(received, len(LARGE_BODY))
+
+    def test_a_large_answer_at_a_stop_arrives_whole(self):
+        self.check_large_answer(b"")
+
+    def test_unread_bytes_at_a_close_destroy_the_end_of_an_answer(self):
+        self.check_large_answer(b"\r\n")
+
+    def test_an_unread_pipelined_request_destroys_the_end_of_an_answer(self):
+        self.check_large_answer(REQUEST)
+
+    def check_early_refusal(self, length):
+        def refuse(request):
+            return Reply(NotRun(NotRunReason.NOT_READY), [], lambda delivered: None)
+
+        self.start_server(refuse)
+        socket = self.connect()
+        socket.sendall(
+            b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % length
+        )
+        sent = None
+        try:
+            for _ in range(length // 65536):
+                socket.sendall(b"y" * 65536)
+                gevent.sleep(0.002)
+        except OSError as error:
+            sent = error
+        received = receive_until(socket, b"}")
+        self.assertIn(b"HTTP/1.1 503", received, f"after {sent!r}")
+
+    def test_a_refusal_before_the_end_of_an_upload_arrives(self):
+        self.check_early_refusal(65536 * 64)
+
+    def test_a_refused_large_head_arrives(self):
+        self.start_server()
+        socket = self.connect()
+        with contextlib.suppress(OSError):
+            socket.sendall(b"GET /x HTTP/1.1\r\nX: " + b"y" * 300_000)
+        self.assertIn(b"HTTP/1.1 431", receive_until(socket, b"}"))
+
+    def test_a_keep_alive_promised_before_a_stop_serves_one_more_request(self):
+        def iterate():
+            yield b"a" * 10
+            gevent.sleep(0.2)
+            yield b"b" * 10
+
+        def answer(request):
+            if request.head.target == b"/x":
+                body = Body(b"", None, iterate())
+            else:
+                body = Body(b"again")
+            return Reply(Answered(200, [], body), [], lambda delivered: None)
+
+        self.start_server(answer)
+        socket = self.connect()
+        socket.sendall(REQUEST)
+        receive_until(socket, b"aaaa")
+        self.server.stop_accepting()
+        receive_until(socket, b"0\r\n\r\n")
+        gevent.sleep(0.3)
+        socket.sendall(REQUEST.replace(b"/x", b"/y"))
+        self.assertIn(b"again", receive_until(socket, b"again"))
+        gevent.sleep(0.1)
+        self.assertEqual(self.server.open_connections, 0)
+
+
+class NodeTests(SidecarTestCase):
+    def connect(self, node=None):
+        address = (node or self.edge).options.outbound
+        socket = gevent.socket.create_connection((address.host, address.port))
+        self.addCleanup(socket.close)
+        return socket
+
+    def exit_after_stop(self, node):
+        started = node.clock.now()
+        node.stop()
+        node.abort()
+        return node.clock.now() - started
+
+    def test_a_stop_without_free_descriptors_never_ends(self):
+        self.start_pair()
+        stopping = gevent.spawn(self.edge.stop)
+        gevent.sleep(0.9)
+        limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+        spare = os.open("/dev/null", os.O_RDONLY)
+        os.close(spare)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (spare, limits[1]))
+        try:
+            gevent.sleep(0.3)
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+        stopping.join(2.0)
+        self.assertIsNone(stopping.exception)
+        self.assertTrue(self.edge.stopped.is_set())
+
+    def test_a_request_completed_late_in_a_stop_is_passed_on_and_cut_off(self):
+        def answer(request):
+            gevent.sleep(0.4)
+            return request.answer()
+
+        self.start_pair(answer)
+        socket = self.connect()
+        request = make_request()
+        gevent.sleep(0.05)
+        stopping = gevent.spawn(self.exit_after_stop, self.edge)
+        gevent.sleep(0.5)
+        socket.sendall(request[:-2])
+        # The listeners close after 1.0 s; the stop waits until 1.7 s.
+        gevent.sleep(1.0)
+        socket.sendall(request[-2:])
+        received = receive_until(socket, b"fine")
+        stopping.get(timeout=3)
+        self.assertEqual(len(self.server.requests), 1)
+        self.assertIn(b"HTTP/1.1 ", received)
+
+    def test_a_head_without_end_prolongs_a_stop_no_longer_than_the_grace(self):
+        self.start_pair()
+        socket = self.connect()
+        socket.sendall(make_request()[:-2])
+        gevent.sleep(0.1)
+        seconds = self.exit_after_stop(self.edge)
+        print(f"\nstop with half a head: {seconds:.3f} s of a grace of 2 s")
+        self.assertLess(seconds, 2.0)
+
+    def test_a_caller_that_does_not_read_prolongs_a_stop_within_the_grace(self):
+        self.start_pair(lambda request: request.answer(body=LARGE_BODY))
+        socket = self.connect()
+        socket.sendall(make_request())
+        gevent.sleep(0.3)
+        seconds = self.exit_after_stop(self.edge)
+        print(f"\nstop with a caller that does not read: {seconds:.3f} s")
+        self.assertLess(seconds, 2.0)
+
+    def test_many_connections_without_a_request_delay_a_stop_by_half_a_second(self):
+        self.start_pair()
+        sockets = [self.connect() for _ in range(200)]
+        gevent.sleep(0.1)
+        seconds = self.exit_after_stop(self.edge)
+        print(f"\nstop with {len(sockets)} silent connections: {seconds:.3f} s")
+        self.assertLess(seconds, 1.7)
+
+    def test_a_stop_with_nothing_open_takes_no_longer(self):
+        self.start_pair()
+        self.assertEqual(self.send_request().status, 200)
+        seconds = self.exit_after_stop(self.edge)
+        print(f"\nstop with one idle connection: {seconds:.3f} s")
+        self.assertLess(seconds, 1.2)
+
+    def test_a_second_stop_signal_does_not_cut_a_request(self):
+        def answer(request):
+            gevent.sleep(0.4)
+            return request.answer()
+
+        self.start_pair(answer)
+        socket = self.connect()
+        gevent.sleep(0.05)
+        gevent.spawn(self.exit_after_stop, self.edge)
+        gevent.sleep(0.8)
+        socket.sendall(make_request())
+        gevent.sleep(0.1)
+        self.edge.stop()
+        self.assertIn(b"fine", receive_until(socket, b"fine"))
+
+    def test_a_peer_that_exits_during_an_exchange_leaves_an_answer(self):
+        self.start_pair(lambda request: None)
+        for path, method in (("/read/1", "GET"), ("/certify/1", "POST")):
+            socket = self.connect()
+            request = make_request(method=method, path=path)
+            if method == "POST":
+                request = request[:-2] + b"Content-Length: 0\r\n\r\n"
+            socket.sendall(request)
+        gevent.sleep(0.2)
+        self.assertEqual(len(self.server.requests), 2)
+        self.deep.abort()
+        received = receive_until(socket, b"}")
+        print(f"\npeer exits: {received.splitlines()[0]!r}")
+        self.assertIn(b"HTTP/1.1 50", received)
+
+    def test_a_pooled_connection_that_a_leaving_peer_just_closed_gives_an_answer(self):
+        self.start_pair()
+        self.assertEqual(self.send_request().status, 200)
+        self.deep.close_listeners()
+        received = []
+        for path, method in (("/read/1", "GET"), ("/certify/1", "POST")):
+            answer = self.send_request(path, method)
+            received.append((method, answer.status, answer.data))
+        print(f"\nclosed by a leaving peer: {received}")
+        self.assertTrue(all(status >= 500 for _, status, _ in received))
+
+    def test_a_configuration_that_drops_a_route_cuts_no_request_on_it(self):
+        def answer(request):
+            gevent.sleep(0.5)
+            return request.answer()
+
+        self.start_pair(answer)
+        socket = self.connect()
+        socket.sendall(make_request())
+        gevent.sleep(0.1)
+        host = CONFIGURATION["virtualHosts"][0]
+        changed = CONFIGURATION | {
+            "version": "0000000d",
+            "virtualHosts": [host | {"paths": host["paths"][1:]}],
+            "limits": {"idleTimeoutS": 0.2},
+        }
+        self.store_configuration(changed)
+        self.assertIn(b"fine", receive_until(socket, b"fine"))
+
+    def test_a_connection_made_after_the_signal_is_closed_while_listening(self):
+        self.start_pair()
+        gevent.spawn(self.edge.stop)
+        gevent.sleep(0.1)
+        socket = self.connect()
+        # The listeners close 1.0 s after the signal, this request comes 0.3 s before.
+        gevent.sleep(0.6)
+        socket.sendall(make_request())
+        self.assertIn(b"fine", receive_until(socket, b"fine"))
+
+    def test_a_slow_head_after_the_signal_is_cut_while_listening(self):
+        self.start_pair()
+        gevent.spawn(self.edge.stop)
+        gevent.sleep(0.1)
+        socket = self.connect()
+        request = make_request()
+        socket.sendall(request[:40])
+        gevent.sleep(0.3)
+        socket.sendall(request[40:60])
+        gevent.sleep(0.3)
+        socket.sendall(request[60:])
+        self.assertIn(b"fine", receive_until(socket, b"fine"))
+
+    def test_a_caller_that_shuts_down_its_sending_side_gets_an_answer(self):
+        def answer(request):
+            gevent.sleep(0.2)
+            return request.answer()
+
+        self.start_pair(answer)
+        socket = self.connect()
+        socket.sendall(make_request())
+        gevent.sleep(0.05)
+        socket.shutdown(gevent.socket.SHUT_WR)
+        received = receive_until(socket, b"fine")
+        print(f"\nhalf-closed: {received[:60]!r}")
+        self.assertIn(b"HTTP/1.1 ", received)
+
+    def test_odd_requests_end_with_an_answer(self):
+        self.start_pair()
+        odd_values = ("nan", "inf", "-1", "1e400", "", "x", "\u0669", "1_0", "0")
+        cases = [{"Fuchsiaspool-Deadline-Ms": value} for value in odd_values]
+        odd_values = ("", ".", "a.", "..", "a1.b", "\u00e9\u4e2d", "a" * 9000, "a b")
+        cases += [{"Fuchsiaspool-Attempt-Id": value} for value in odd_values]
+        odd_values = ("", "[::1]:80", "h.example:", ":", "\u00e9", "H.EXAMPLE:1")
+        cases += [{"Host": value} for value in odd_values]
+        cases += [
+            {"Connection": "x, close, , fuchsiaspool-mesh"},
+            {"Expect": "100-continue", "Content-Length": "0"},
+            {"Fuchsiaspool-Mesh": "[]", "Fuchsiaspool-Outcome": "{"},
+            {"Content-Length": "0", "Cookie": "\u00ff"},
+        ]
+        targets = ("/read/1", "*", "//", "/read/%zz", "http://h.example/read/1")
+        targets += ("/read/\u00e9", "/read/1?a=%00#b", "/read/../certify/1", "?")
+        lines = [(f"GET {target}", {}) for target in targets]
+        lines += [(f"{m} /read/1", {}) for m in ("OPTIONS", "TRACE", "HEAD", "PURGE")]
+        lines += [("GET /read/1", case) for case in cases]
+        unanswered = []
+        for line, case in lines:
+            fields = {"Host": "h.example", "Fuchsiaspool-Attempt-Id": "a1"} | case
+            head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+            socket = self.connect()
+            socket.sendall(f"{line} HTTP/1.1\r\n{head}\r\n".encode())
+            received = receive_until(socket, b"\r\n\r\n", 1.5)
+            if not received.startswith(b"HTTP/1.1 "):
+                unanswered.append((line, str(case)[:60], received))
+            socket.close()
+        self.assertEqual(unanswered, [])
+
+    def test_odd_answers_of_a_server_end_with_an_answer(self):
+        signed = b"Fuchsiaspool-Server-Signature: s\r\n"
+        answers = [
+            b"HTTP/1.1 %b X\r\n%bContent-Length: 2\r\n\r\nab" % (status, signed)
+            for status in (b"100", b"101", b"199", b"204", b"304", b"299", b"999", b"0")
+        ]
+        odd_headers = (
+            b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+            b"Content-Length: -1\r\n\r\n",
+            b"Content-Length: 99999999999999999999999\r\n\r\n",
+            b"Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+            b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nT: 1\r\n\r\n",
+            b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+            b"Transfer-Encoding: gzip\r\n\r\nab",
+            b"Fuchsiaspool-Load-Limit: \xff\r\nContent-Length: 2\r\n\r\nab",
+            b"Keep-Alive: timeout=\xb2\r\nContent-Length: 2\r\n\r\nab",
+            b"Keep-Alive: timeout=" + b"9" * 5000 + b"\r\nContent-Length: 2\r\n\r\nab",
+            b"Connection: upgrade\r\nUpgrade: x\r\nContent-Length: 2\r\n\r\nab",
+            b": x\r\nContent-Length: 2\r\n\r\nab",
+        )
+        answers += [b"HTTP/1.1 200 X\r\n" + signed + header for header in odd_headers]
+        answers += [b"\0", b"HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n", b"\r\n" * 9]
+        self.start_pair(lambda request: next(script))
+        unanswered = []
+        for answer in answers:
+            script = itertools.repeat(answer)
+            socket = self.connect()
+            socket.sendall(make_request(path="/quick/1"))
+            received = receive_until(socket, b"\r\n\r\n", 2.5)
+            if not received.startswith(b"HTTP/1.1 "):
+                unanswered.append((answer[:90], received))
+            socket.close()
+        self.assertEqual(unanswered, [])
+
+    def test_an_odd_keep_alive_header_of_the_local_server_loses_the_answer(self):
+        self.start_pair()
+        self.assertEqual(self.send_heartbeat(self.edge), 200)
+        self.await_condition(lambda: self.edge.members.list_service("registry"))
+        extra = b"Fuchsiaspool-Server-Signature: s\r\nKeep-Alive: timeout=\xb2\r\n"
+        self.other.script = lambda request: request.answer(extra=extra)
+        socket = self.connect()
+        socket.sendall(make_request(path="/front/1"))
+        received = receive_until(socket, b"\r\n\r\n")
+        self.assertEqual(len(self.other.requests), 1)
+        self.assertIn(b"HTTP/1.1 ", received)
+
+    def test_a_stop_under_load_loses_no_request_that_was_passed_on(self):
+        def answer(request):
+            gevent.sleep(0.02)
+            return request.answer()
+
+        self.start_pair(answer)
+        self.send_heartbeat(self.deep, sequence=2, slots=1000)
+        load = Load(self.connect)
+        gevent.sleep(0.3)
+        self.exit_after_stop(self.edge)
+        load.wait()
+        lost = load.find_lost(self.server)
+        print(f"\nunder load: {load.describe()}, {len(lost)} of these were passed on")
+        self.assertEqual(lost, set())
+
+    def test_a_peer_that_stops_under_load_leaves_no_request_unanswered(self):
+        def answer(request):
+            gevent.sleep(0.05)
+            return request.answer()
+
+        self.start_pair(answer)
+        second = StubServer(answer)
+        self.addCleanup(second.stop)
+        other = self.start_node("deep2", "quota", second)
+        for node, instance in ((self.deep, "i-1"), (other, "i-2")):
+            self.send_heartbeat(node, sequence=2, slots=200, instance=instance)
+        self.await_condition(lambda: len(self.edge.members.list_service("quota")) == 2)
+        load = Load(self.connect)
+        gevent.sleep(0.5)
+        self.exit_after_stop(self.deep)
+        gevent.sleep(0.3)
+        self.exit_after_stop(self.edge)
+        load.wait()
+        print(f"\npeer stops: {load.describe()}, {dict(load.statuses)}")
+        self.assertEqual(load.unanswered, [])
+        self.assertEqual(load.statuses[502], 0)
+
+
+class ProcessTests(SidecarTestCase):
+    def test_a_process_that_stops_under_load_loses_no_request_that_was_passed_on(self):
+        def answer(request):
+            gevent.sleep(0.1)
+            return request.answer()
+
+        server = StubServer(answer)
+        self.addCleanup(server.stop)
+        names = ("outbound", "inbound", "readiness", "reports", "peers", "metrics")
+        addresses = {name: allocate_address() for name in names}
+        with tempfile.NamedTemporaryFile("w", suffix=".ini") as settings:
+            text = SETTINGS.format(
+                platform=self.platform.address,
+                server=server.address,
+                grace=2.0,
+                **addresses,
+            )
+            settings.write(text)
+            settings.flush()
+            command = [sys.executable, "-m", "fuchsiaspool.commands.sidecar"]
+            process = subprocess.Popen(
+                [*command, settings.name], stdout=subprocess.DEVNULL
+            )
+            self.addCleanup(process.wait)
+            self.addCleanup(process.kill)
+            client = make_platform_store(self.platform.address, SystemClock(), None)
+            client.put(CONFIGURATION_KEY, json.dumps(CONFIGURATION).encode(), None)
+            body = {
+                "address": str(server.address),
+                "born": 100,
+                "nodeInfo": {"service": "registry", "slots": 500},
+                "status": {"state": "ready", "seq": 1, "coldRemainingS": 0},
+            }
+            url = f"http://{addresses['reports']}/-/instances/i-1"
+            outbound = (addresses["outbound"].host, addresses["outbound"].port)
+
+            def is_ready():
+                try:
+                    self.http.request("PUT", url, body=json.dumps(body))
+                    with gevent.socket.create_connection(outbound) as socket:
+                        socket.sendall(make_request(path="/front/1"))
+                        return receive_until(socket, b"\r\n").startswith(
+                            b"HTTP/1.1 200"
+                        )
+                except (OSError, urllib3.exceptions.HTTPError):
+                    return False
+
+            self.await_condition(is_ready)
+            load = Load(lambda: gevent.socket.create_connection(outbound), "/front/1")
+            gevent.sleep(0.5)
+            process.send_signal(signal.SIGTERM)
+            started = SystemClock().now()
+            self.await_condition(lambda: process.poll() is not None)
+            seconds = SystemClock().now() - started
+            load.wait()
+        lost = load.find_lost(server)
+        print(f"\nprocess: {load.describe()}, {len(lost)} passed on, {seconds:.3f} s")
+        self.assertEqual(lost, set())
