Shorten the idle timeout only once the listener has closed

Apart from a stop, a head that began shortly before the idle timeout was cut in the middle.

And the idle timeout stayed set on the connection once a head had begun: the header timeout ran beside it and did not replace it.

Change: two flags. The short timeout holds only after the listener has closed. The header timeout replaces the idle timeout with the first byte of a request. Empty lines begin no request, so they leave the idle timeout in force. New connections and idle ones share one wait for the first byte.

--- a/src/fuchsiaspool/http/server.py
+++ b/src/fuchsiaspool/http/server.py
@@ -34,9 +34,9 @@
 HEADER_TIMEOUT_SECONDS: Final = 5.0
 STALL_TIMEOUT_SECONDS: Final = 5.0
 BODY_TIMEOUT_SECONDS: Final = 30.0
-# Wait for the first request on a connection that was accepted while stopping: its
+# Wait for the first byte on a connection still open once the listener has closed: its
 # caller has usually sent it already.
-STOPPING_IDLE_TIMEOUT_SECONDS: Final = 0.5
+CLOSED_LISTENER_IDLE_TIMEOUT_SECONDS: Final = 0.5
 _REASON_PHRASES: Final = {s.value: s.phrase.encode() for s in HTTPStatus}
 
 
@@ -109,7 +109,8 @@
         # on which none has arrived yet.
         self._idle_channels: set[Channel] = set()
         self._new_channels: set[Channel] = set()
-        self.stopping = False
+        self._keep_alive_disabled = False
+        self._listener_closed = False
 
     def start(self) -> None:
         """Bind the address and accept connections."""
@@ -132,15 +133,19 @@
         A later stop then finds fewer idle connections to close, on which a request
         may just be arriving.
         """
-        self.stopping = True
+        self._keep_alive_disabled = True
 
     def stop_accepting(self) -> CloseSummary:
         """Stop listening and close idle connections; running requests continue.
 
-        Every connection ends after its next answer, and one without a request soon:
-        once `open_connections` is zero, the process may exit.
+        Every connection ends after its next answer: once `open_connections` is zero,
+        the process may exit. A connection ends without a request after
+        `CLOSED_LISTENER_IDLE_TIMEOUT_SECONDS`, or, if its head has begun, after
+        `HEADER_TIMEOUT_SECONDS`. A caller that does not read its answer is cut off
+        after `STALL_TIMEOUT_SECONDS`.
         """
-        self.stopping = True
+        self._keep_alive_disabled = True
+        self._listener_closed = True
         self._server.stop_accepting()
         accepted = self._accept_waiting()
         self._server.close()
@@ -153,8 +158,8 @@
             idle += 1
             self._idle_channels.discard(channel)
             channel.abort()
-        for channel in self._new_channels:
-            channel.set_timeout(STOPPING_IDLE_TIMEOUT_SECONDS)
+        for channel in self._new_channels | self._idle_channels:
+            channel.set_timeout(CLOSED_LISTENER_IDLE_TIMEOUT_SECONDS)
         return CloseSummary(accepted, idle, unread)
 
     def _accept_waiting(self) -> int:
@@ -170,7 +175,8 @@
 
     def kill(self) -> None:
         """Stop listening and close every connection immediately."""
-        self.stopping = True
+        self._keep_alive_disabled = True
+        self._listener_closed = True
         self._server.stop(timeout=0)
 
     def _serve(self, socket: Any, peer_address: tuple[str, int]) -> None:
@@ -208,32 +214,35 @@
         return self._answer(channel, reader, request)
 
     def _await_head(self, channel: Channel, reader: MessageReader) -> Head:
-        if channel in self._new_channels:
-            channel.set_timeout(self._find_idle_timeout())
-            reader.receive()
-            self._new_channels.discard(channel)
-        elif not reader.has_started:
+        if not reader.has_started:
+            self._await_first_byte(channel, reader)
+        if not reader.complete:
+            # Replaces the idle timeout, which may be nearly over or much longer.
+            channel.set_timeout(HEADER_TIMEOUT_SECONDS)
+        return reader.read_head()
+
+    def _await_first_byte(self, channel: Channel, reader: MessageReader) -> None:
+        is_new = channel in self._new_channels
+        if not is_new:
             self._idle_channels.add(channel)
-            try:
-                channel.set_timeout(self._find_idle_timeout())
+        try:
+            channel.set_timeout(self._find_idle_timeout())
+            # Empty lines before a request begin none.
+            while not reader.has_started:
                 reader.receive()
-                if channel not in self._idle_channels:
-                    # The request arrived while the idle connection was being closed,
-                    # so its answer could not be sent.
-                    raise ConnectionClosedError(mid_message=False)
-            finally:
-                self._idle_channels.discard(channel)
-        if reader.complete:
-            return reader.read_head()
-        # The idle timeout is long; a header that has begun gets a shorter one.
-        with gevent.Timeout(HEADER_TIMEOUT_SECONDS, TimeoutError("header stalled")):
-            return reader.read_head()
+            if not is_new and channel not in self._idle_channels:
+                # The request arrived while the idle connection was being closed, so
+                # its answer could not be sent.
+                raise ConnectionClosedError(mid_message=False)
+        finally:
+            self._new_channels.discard(channel)
+            self._idle_channels.discard(channel)
 
     def _find_idle_timeout(self) -> float:
         idle_timeout = self._answer_format.get_idle_timeout()
-        if not self.stopping:
+        if not self._listener_closed:
             return idle_timeout
-        return min(idle_timeout, STOPPING_IDLE_TIMEOUT_SECONDS)
+        return min(idle_timeout, CLOSED_LISTENER_IDLE_TIMEOUT_SECONDS)
 
     def _read_body(self, channel: Channel, reader: MessageReader, head: Head) -> Body:
         if reader.complete:
@@ -258,7 +267,9 @@
             reply = self._handle(request)
             channel.stop_watching()
             keep_alive = (
-                request.head.keep_alive and not self.stopping and reader.complete
+                request.head.keep_alive
+                and not self._keep_alive_disabled
+                and reader.complete
             )
             delivered = _send_reply(
                 channel, request.head.method, reply, keep_alive, self._answer_format
--- a/tests/test_lost_at_stop.py
+++ b/tests/test_lost_at_stop.py
@@ -9,6 +9,7 @@
 
 from fuchsiaspool.mesh import CONTEXT_HEADER, MeshContext
 
+from .callers import make_request, receive_until
 from .sidecar_case import ReceivedRequest, SidecarTestCase
 from .support import ScriptedServer, make_options, start_node
 
@@ -125,6 +126,43 @@
         self.check_answered(kept[0])
 
 
+class RequestDuringStopTests(SidecarTestCase):
+    def connect(self, node=None):
+        address = (node or self.edge).options.outbound
+        socket = gevent.socket.create_connection((address.host, address.port))
+        self.addCleanup(socket.close)
+        return socket
+
+    def exit_after_stop(self, node):
+        started = node.clock.now()
+        node.stop()
+        node.abort()
+        return node.clock.now() - started
+
+    def test_a_connection_made_after_the_signal_stays_open_while_listening(self):
+        self.start_pair()
+        gevent.spawn(self.edge.stop)
+        gevent.sleep(0.1)
+        socket = self.connect()
+        # The listeners close 1.0 s after the signal, this request comes 0.3 s before.
+        gevent.sleep(0.6)
+        socket.sendall(make_request())
+        self.assertIn(b"fine", receive_until(socket, b"fine"))
+
+    def test_a_slow_head_after_the_signal_is_served_while_listening(self):
+        self.start_pair()
+        gevent.spawn(self.edge.stop)
+        gevent.sleep(0.1)
+        socket = self.connect()
+        request = make_request()
+        socket.sendall(request[:40])
+        gevent.sleep(0.3)
+        socket.sendall(request[40:60])
+        gevent.sleep(0.3)
+        socket.sendall(request[60:])
+        self.assertIn(b"fine", receive_until(socket, b"fine"))
+
+
 class LostAtStopOfNodeTests(unittest.TestCase):
     def test_a_request_half_sent_as_the_listeners_close_gets_no_answer(self):
         server = ScriptedServer(b"")
--- a/tests/test_review_lost.py
+++ b/tests/test_review_lost.py
@@ -1,6 +1,5 @@
 """Test ways in which a whole request may end without a complete answer."""
 
-import collections
 import contextlib
 import itertools
 import json
@@ -25,6 +24,7 @@
 from fuchsiaspool.platform.client import make_platform_store
 from fuchsiaspool.platform.configuration import CONFIGURATION_KEY
 
+from .callers import Load, make_request, receive_until
 from .sidecar_case import CONFIGURATION, SidecarTestCase, StubServer
 from .support import allocate_address
 from .test_sidecar_process import SETTINGS
@@ -34,75 +34,6 @@
 block_event_loop = get_original("time", "sleep")
 
 
-def make_request(attempt="a1", method="GET", path="/read/1"):
-    return (
-        f"{method} {path} HTTP/1.1\r\nHost: h.example\r\n"
-        f"Fuchsiaspool-Attempt-Id: {attempt}\r\nFuchsiaspool-Deadline-Ms: 900\r\n\r\n"
-    ).encode()
-
-
-def receive_until(socket, end, timeout=2.0):
-    """Return what arrives until `end`, a close or the timeout."""
-    socket.settimeout(timeout)
-    data = b""
-    try:
-        while end not in data:
-            piece = socket.recv(65536)
-            if not piece:
-                break
-            data += piece
-    except OSError as error:
-        return data + b" <%s>" % repr(error).encode()
-    return data
-
-
-class Load:
-    """Send requests on kept and new connections until none can be opened."""
-
-    def __init__(self, connect, path="/read/1", callers=40):
-        self.unanswered = []
-        self.answered = 0
-        self.statuses = collections.Counter()
-        self._connect = connect
-        self._path = path
-        self._numbers = itertools.count()
-        self._callers = [gevent.spawn(self._call_often) for _ in range(callers)]
-
-    def wait(self):
-        gevent.joinall(self._callers, timeout=4)
-
-    def find_lost(self, server):
-        name = "fuchsiaspool-attempt-id"
-        passed_on = {request.headers.get(name) for request in server.requests}
-        return passed_on.intersection(self.unanswered)
-
-    def describe(self):
-        return f"{self.answered} answered, {len(self.unanswered)} not"
-
-    def _call_often(self):
-        socket = None
-        while True:
-            attempt = f"n{next(self._numbers)}"
-            try:
-                socket = socket or self._connect()
-            except OSError:
-                return
-            try:
-                socket.sendall(make_request(attempt, path=self._path))
-                received = receive_until(socket, b"\r\n\r\n", 3.0)
-            except OSError:
-                received = b""
-            if not received.startswith(b"HTTP/1.1"):
-                self.unanswered.append(attempt)
-                socket = None
-                continue
-            self.answered += 1
-            self.statuses[int(received[9:12])] += 1
-            if b"connection: close" in received.lower():
-                socket = None
-            gevent.sleep(0.01)
-
-
 class ServerTests(SidecarTestCase):
     def setUp(self):
         """Start no platform."""
@@ -162,31 +93,6 @@
         block_event_loop(0.15)
         self.assertIn(b"done", receive_until(socket, b"done"))
 
-    def test_the_idle_timeout_cuts_a_head_that_has_begun(self):
-        self.start_server(idle_timeout=0.3)
-        socket = self.connect()
-        socket.sendall(REQUEST)
-        receive_until(socket, b"done")
-        gevent.sleep(0.22)
-        socket.sendall(REQUEST[:10])
-        gevent.sleep(0.15)
-        socket.sendall(REQUEST[10:])
-        self.assertIn(b"done", receive_until(socket, b"done"))
-
-    def test_the_short_timeout_of_a_stop_cuts_a_head_that_has_begun(self):
-        self.start_server()
-        socket = self.connect(plain=True)
-        self.server.stop_accepting()
-        socket.sendall(REQUEST[:10])
-        gevent.sleep(0.6)
-        try:
-            socket.sendall(REQUEST[10:])
-        except OSError as error:
-            self.fail(f"closed: {error!r}")
-        kept = gevent.socket.socket(fileno=socket.detach())
-        self.addCleanup(kept.close)
-        self.assertIn(b"done", receive_until(kept, b"done"))
-
     def test_a_stop_drops_a_pipelined_request_that_was_read(self):
         started = gevent.event.Event()
 
@@ -436,29 +342,6 @@
         self.store_configuration(changed)
         self.assertIn(b"fine", receive_until(socket, b"fine"))
 
-    def test_a_connection_made_after_the_signal_is_closed_while_listening(self):
-        self.start_pair()
-        gevent.spawn(self.edge.stop)
-        gevent.sleep(0.1)
-        socket = self.connect()
-        # The listeners close 1.0 s after the signal, this request comes 0.3 s before.
-        gevent.sleep(0.6)
-        socket.sendall(make_request())
-        self.assertIn(b"fine", receive_until(socket, b"fine"))
-
-    def test_a_slow_head_after_the_signal_is_cut_while_listening(self):
-        self.start_pair()
-        gevent.spawn(self.edge.stop)
-        gevent.sleep(0.1)
-        socket = self.connect()
-        request = make_request()
-        socket.sendall(request[:40])
-        gevent.sleep(0.3)
-        socket.sendall(request[40:60])
-        gevent.sleep(0.3)
-        socket.sendall(request[60:])
-        self.assertIn(b"fine", receive_until(socket, b"fine"))
-
     def test_a_caller_that_shuts_down_its_sending_side_gets_an_answer(self):
         def answer(request):
             gevent.sleep(0.2)
