Answer a request whose handling fails unexpectedly

Callers saw their connection close without an answer, after the request had been passed on, whenever an exception that nobody expected came up while it was handled. One such case: a local server that sends `Keep-Alive: timeout=` with a superscript digit or with more than 4300 digits.

Cause: the listener ended the connection's task on any such exception. The parser of `Keep-Alive` tested with `isdigit`, which passes characters that `int` refuses.

Change: until the first byte of an answer is sent, the listener logs an unexpected exception and answers 502 (the server may have run the request) on a connection that closes. The head is therefore encoded before anything is sent. The parser takes ASCII digits of any number. An exchange that ends by an unexpected exception closes its connection and removes its abort.

--- a/src/fuchsiaspool/http/client.py
+++ b/src/fuchsiaspool/http/client.py
@@ -210,6 +210,10 @@
             outcome = self._close_with_failure(UnknownReason.CANCELLED, str(error))
         except OSError as error:
             outcome = self._close_with_failure(UnknownReason.RESET, str(error))
+        except BaseException:
+            remove_abort()
+            connection.close()
+            raise
         if not isinstance(outcome, Answered) or outcome.body.fully_buffered:
             remove_abort()
         else:
@@ -384,6 +388,7 @@
         return MAX_IDLE_SECONDS
     for parameter in text.split(","):
         name, _, value = parameter.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            return min(MAX_IDLE_SECONDS, int(value) * KEEP_ALIVE_TIMEOUT_SHARE)
+        # A float may have any number of digits, an int may not.
+        if name.lower() == "timeout" and value.isascii() and value.isdigit():
+            return min(MAX_IDLE_SECONDS, float(value) * KEEP_ALIVE_TIMEOUT_SHARE)
     return MAX_IDLE_SECONDS
--- a/src/fuchsiaspool/http/server.py
+++ b/src/fuchsiaspool/http/server.py
@@ -14,7 +14,14 @@
 from ..addresses import Address
 from ..bodies import MAX_BUFFERED_BYTES, Body, Headers, IncompleteBodyError
 from ..calls import Cancellation
-from ..outcomes import Answered, NotRun, NotRunReason, Outcome
+from ..outcomes import (
+    Answered,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Unknown,
+    UnknownReason,
+)
 from .answer_format import DEFAULT_ANSWER_FORMAT, AnswerFormat
 from .channels import Channel
 from .messages import (
@@ -264,16 +271,25 @@
         reply = None
         delivered = False
         try:
-            reply = self._handle(request)
-            channel.stop_watching()
-            keep_alive = (
-                request.head.keep_alive
-                and not self._keep_alive_disabled
-                and reader.complete
-            )
-            delivered = _send_reply(
-                channel, request.head.method, reply, keep_alive, self._answer_format
-            )
+            try:
+                reply = self._handle(request)
+                channel.stop_watching()
+                keep_alive = (
+                    request.head.keep_alive
+                    and not self._keep_alive_disabled
+                    and reader.complete
+                )
+                data, stream = _encode_reply(
+                    request.head.method, reply, keep_alive, self._answer_format
+                )
+            except Exception:
+                # Nothing has been sent to the caller yet, but the server may have run
+                # the request.
+                _LOG.exception("request failed")
+                outcome = Unknown(UnknownReason.RESET, "internal error")
+                self._send_error(channel, request.head.method, outcome)
+                return False
+            delivered = _send(channel, data, stream)
             return keep_alive and delivered
         finally:
             channel.stop_watching()
@@ -282,9 +298,11 @@
 
     def _reject(self, channel: Channel, reason: NotRunReason, detail: str) -> None:
         _LOG.info("request refused", extra={"reason": reason.value, "detail": detail})
-        outcome = NotRun(reason, detail)
+        self._send_error(channel, "GET", NotRun(reason, detail))
+
+    def _send_error(self, channel: Channel, method: str, outcome: Outcome) -> None:
         reply = Reply(outcome, [], lambda delivered: None)
-        _send_reply(channel, "GET", reply, False, self._answer_format)
+        _send(channel, *_encode_reply(method, reply, False, self._answer_format))
 
 
 def _make_cancel_on_close(cancellation: Cancellation) -> Callable[[PeekResult], None]:
@@ -295,13 +313,10 @@
     return cancel_on_close
 
 
-def _send_reply(
-    channel: Channel,
-    method: str,
-    reply: Reply,
-    keep_alive: bool,
-    answer_format: AnswerFormat,
-) -> bool:
+def _encode_reply(
+    method: str, reply: Reply, keep_alive: bool, answer_format: AnswerFormat
+) -> tuple[bytes, Body | None]:
+    """Return the first bytes of an answer, and its body if that is not among them."""
     outcome = reply.outcome
     if isinstance(outcome, Answered):
         status, body = outcome.status, outcome.body
@@ -318,23 +333,23 @@
     if not keep_alive:
         headers.append((b"connection", b"close"))
     start = b"HTTP/1.1 %d %b" % (status, _REASON_PHRASES.get(status, b""))
-    channel.set_stall_timeout(STALL_TIMEOUT_SECONDS)
     if status in (204, 304):
-        channel.send(encode_bodiless_head(start, headers))
-        return True
+        return encode_bodiless_head(start, headers), None
     data = encode_head(start, headers, body.length)
-    if body.fully_buffered:
-        if method != "HEAD":
-            data += body.buffered
-        channel.send(data)
-        return True
-    return _stream_body(channel, data, body)
+    if not body.fully_buffered:
+        return data, body
+    return (data if method == "HEAD" else data + body.buffered), None
 
 
-def _stream_body(channel: Channel, data: bytes, body: Body) -> bool:
+def _send(channel: Channel, data: bytes, stream: Body | None) -> bool:
+    channel.set_stall_timeout(STALL_TIMEOUT_SECONDS)
+    channel.send(data)
+    return stream is None or _stream_body(channel, stream)
+
+
+def _stream_body(channel: Channel, body: Body) -> bool:
     # A truncated body closes the connection without the last chunk or the full
     # length, so that the caller can detect it.
-    channel.send(data)
     sent_bytes = 0
     for piece in body:
         sent_bytes += len(piece)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -69,3 +69,12 @@
         kept = gevent.socket.socket(fileno=socket.detach())
         self.addCleanup(kept.close)
         self.assertIn(b"done", receive_until(kept, b"done"))
+
+    def test_an_error_in_a_handler_is_answered(self):
+        def fail(request):
+            raise KeyError("a fault of the program")
+
+        self.start_server(fail)
+        socket = self.connect()
+        socket.sendall(REQUEST)
+        self.assertIn(b"HTTP/1.1 50", receive_until(socket, b"\r\n\r\n"))
