Refuse requests that are complete too late in a stop

Callers whose request was complete more than about 0.2 s after the listeners had closed could see it passed on to a server and then cut off as the grace ended: run perhaps, and never answered.

Cause: a connection that is open as the listeners close may bring its request at any time until the grace is nearly over, and it was served like any other. Only requests sent up to 3 s after the signal may be cut off.

Change: 0.2 s after the last moment at which requests must be accepted (3.0 s after the signal with a grace of 6 s), both listeners answer 503 with Retry-After and pass nothing on. Peers get the outcome header, which tells them that the call did not run. The listener of nested calls is closed by then; a nested call that had begun before and is complete later is refused too. A body over 64 KiB is passed on as it arrives, so it counts from its first part.

The test with a peer's call is new.

--- a/src/fuchsiaspool/http/server.py
+++ b/src/fuchsiaspool/http/server.py
@@ -142,6 +142,10 @@
         """
         self._keep_alive_disabled = True
 
+    def replace_handler(self, handle: RequestHandler) -> None:
+        """Pass the requests that are complete from now on to another handler."""
+        self._handle = handle
+
     def stop_accepting(self) -> CloseSummary:
         """Stop listening and close idle connections; running requests continue.
 
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -11,6 +11,7 @@
 import gevent.event
 
 from .addresses import parse_address
+from .bodies import Headers
 from .calls import Call, compose
 from .clock import SystemClock
 from .configuration_watch import ConfigurationWatch, FleetView
@@ -56,14 +57,19 @@
 from .health_probe import make_health_probe
 from .http.answer_format import AnswerFormat
 from .http.client import ConnectionPool, ExchangeRules, make_call_sender
-from .http.server import HttpServer
+from .http.server import HttpServer, Reply, Request, RequestHandler
 from .ids import Incarnation, RouteName
 from .member_records import Member, MemberState
-from .mesh import NoticeExchange, make_peer_sender
+from .mesh import (
+    OUTCOME_HEADER,
+    NoticeExchange,
+    encode_outcome,
+    make_peer_sender,
+)
 from .metrics import format_metrics
 from .node_load import NodeLoad
 from .options import PlatformOptions, merge_options
-from .outcomes import NotRunReason, Outcome
+from .outcomes import NotRun, NotRunReason, Outcome
 from .peers.bus import PeerBus
 from .peers.transport import PeerTransport
 from .peers.wiring import register_member_handlers
@@ -122,6 +128,9 @@
 READINESS_NOTICE_SECONDS: Final = 2.3
 # Requests sent later than this after the signal to stop need not be accepted.
 MAX_ACCEPT_SECONDS: Final = 2.8
+# Time for a request that is under way as the listeners close. What is complete later
+# might not end before the grace does, and is refused.
+LATE_REQUEST_SECONDS: Final = 0.2
 # Share of the grace that is kept for closing connections and exiting. A stop may cut
 # off calls that are still running in the last sixth of the grace.
 EXIT_GRACE_SHARE: Final = 0.15
@@ -412,7 +421,10 @@
         _LOG.info("started", extra={"node": self.options.place.node})
 
     def stop(self) -> None:
-        """Accept no new work, wait for the calls in flight, then stop; this blocks."""
+        """Accept no new work, wait for open connections, then stop; this blocks.
+
+        What is still running or half read near the end of the grace is cut off.
+        """
         if self.state in (NodeState.LEAVING, NodeState.STOPPED):
             return
         self.state = NodeState.LEAVING
@@ -434,10 +446,15 @@
         while self.admission.in_flight and self.clock.now() < accept_until:
             gevent.sleep(DRAIN_CHECK_SECONDS)
         self.close_listeners()
+        refuse_from = max(accept_until, self.clock.now()) + LATE_REQUEST_SECONDS
+        refusing = gevent.spawn_later(
+            refuse_from - self.clock.now(), self._refuse_requests
+        )
         # A request is a call only once its handler runs; a connection counts from the
         # moment it is accepted.
         while self._count_open_connections() and self.clock.now() < drain_deadline:
             gevent.sleep(DRAIN_CHECK_SECONDS)
+        refusing.kill(block=False)
         for call in self._calls_in_flight.values():
             _LOG.error("call cut off", extra={"request": call.request})
         self.state = NodeState.STOPPED
@@ -471,6 +488,13 @@
                 },
             )
 
+    def _refuse_requests(self) -> None:
+        outcome = NotRun(NotRunReason.LEAVING, "completed too late in a stop")
+        # Without this header a peer could not tell that the request did not run.
+        peer_headers = [(OUTCOME_HEADER, encode_outcome(outcome, 0))]
+        self._inbound_server.replace_handler(_make_refusal(outcome, peer_headers))
+        self._outbound_server.replace_handler(_make_refusal(outcome, []))
+
     def _count_open_connections(self) -> int:
         servers = (self._inbound_server, self._outbound_server)
         return sum(server.open_connections for server in servers)
@@ -632,6 +656,14 @@
         )
 
 
+def _make_refusal(outcome: NotRun, headers: Headers) -> RequestHandler:
+    def refuse(request: Request) -> Reply:
+        _LOG.info("request refused", extra={"reason": outcome.reason.value})
+        return Reply(outcome, headers, lambda delivered: None)
+
+    return refuse
+
+
 def _compute_retry_slack_rate(options: PlatformOptions) -> float:
     """Return the retries per second that a node may send beyond its share."""
     # Every node may add its part: half of the slack, divided by the size of a large
--- a/tests/test_lost_at_stop.py
+++ b/tests/test_lost_at_stop.py
@@ -7,7 +7,8 @@
 import msgspec
 from gevent.monkey import get_original
 
-from fuchsiaspool.mesh import CONTEXT_HEADER, MeshContext
+from fuchsiaspool.mesh import CONTEXT_HEADER, MeshContext, MeshOutcome
+from fuchsiaspool.outcomes import NotRunReason
 
 from .callers import make_request, receive_until
 from .sidecar_case import ReceivedRequest, SidecarTestCase
@@ -29,6 +30,11 @@
     return ReceivedRequest.answer(request)
 
 
+def answer_for_long(request):
+    gevent.sleep(0.4)
+    return ReceivedRequest.answer(request)
+
+
 class LostAtStopTests(SidecarTestCase):
     def setUp(self):
         super().setUp()
@@ -162,6 +168,48 @@
         socket.sendall(request[60:])
         self.assertIn(b"fine", receive_until(socket, b"fine"))
 
+    def complete_late(self, name, script, address, pause, extra=b""):
+        """Return what a caller gets whose request ends `pause` seconds into a stop."""
+        self.start_pair(script)
+        node = getattr(self, name)
+        target = getattr(node.options, address)
+        socket = gevent.socket.create_connection((target.host, target.port))
+        self.addCleanup(socket.close)
+        request = make_request()[:-2] + extra + b"\r\n"
+        gevent.sleep(0.05)
+        stopping = gevent.spawn(self.exit_after_stop, node)
+        gevent.sleep(0.5)
+        socket.sendall(request[:-2])
+        gevent.sleep(pause - 0.5)
+        socket.sendall(request[-2:])
+        received = receive_until(socket, b"}")
+        stopping.get(timeout=3)
+        return received
+
+    def check_refused(self, received):
+        # Nobody ran it, and the caller may send it again at once.
+        self.assertEqual(self.server.requests, [])
+        self.assertIn(b"HTTP/1.1 503 ", received)
+        self.assertIn(b"\r\nretry-after: ", received)
+        self.assertIn(b"\r\nconnection: close", received)
+
+    def test_a_request_completed_late_in_a_stop_is_refused(self):
+        # The listeners close after 1.0 s; the stop waits until 1.7 s, and the server
+        # works for 0.4 s.
+        received = self.complete_late("edge", answer_for_long, "outbound", 1.5)
+        self.check_refused(received)
+        self.assertNotIn(b"fuchsiaspool-outcome", received)
+
+    def test_a_call_of_a_peer_completed_late_in_a_stop_is_refused(self):
+        context = MeshContext("a1", "registry", "quota", 1.0, False, 900.0, 0)
+        line = b"%b: %b\r\n" % (CONTEXT_HEADER, msgspec.json.encode(context))
+        received = self.complete_late("deep", answer_for_long, "inbound", 1.5, line)
+        self.check_refused(received)
+        head, _, _ = received.partition(b"\r\n\r\n")
+        _, _, values = head.partition(b"fuchsiaspool-outcome: ")
+        outcome = msgspec.json.decode(values.partition(b"\r\n")[0], type=MeshOutcome)
+        self.assertEqual(outcome.not_run, NotRunReason.LEAVING)
+
 
 class LostAtStopOfNodeTests(unittest.TestCase):
     def test_a_request_half_sent_as_the_listeners_close_gets_no_answer(self):
