Answer pipelined requests that were read before a stop closes

A caller that had pipelined a second request, which the node had read, got the first answer with `Connection: close` in a stop and no answer to the second.

Cause: after the signal to stop, each connection closed after its next answer whatever had been read beyond that.

Change: the connection closes only once no bytes beyond the first request have been received.

--- a/src/fuchsiaspool/http/server.py
+++ b/src/fuchsiaspool/http/server.py
@@ -288,8 +288,9 @@
                 channel.stop_watching()
                 keep_alive = (
                     request.head.keep_alive
-                    and not self._keep_alive_disabled
                     and reader.complete
+                    # A pipelined request that was read still gets its answer.
+                    and (not self._keep_alive_disabled or reader.has_next)
                 )
                 data, stream = _encode_reply(
                     request.head.method, reply, keep_alive, self._answer_format
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -3,6 +3,7 @@
 import unittest
 
 import gevent
+import gevent.event
 import gevent.socket
 from gevent.monkey import get_original
 
@@ -100,3 +101,20 @@
         gevent.sleep(0.05)
         with gevent.Timeout(1.0, AssertionError("stop_accepting still waits")):
             self.server.stop_accepting()
+
+    def test_a_stop_answers_a_pipelined_request_that_was_read(self):
+        started = gevent.event.Event()
+
+        def answer(request):
+            started.set()
+            gevent.sleep(0.2)
+            return Reply(
+                Answered(200, [], Body(request.head.target)), [], lambda delivered: None
+            )
+
+        self.start_server(answer)
+        socket = self.connect()
+        socket.sendall(REQUEST + REQUEST.replace(b"/x", b"/second"))
+        started.wait()
+        self.server.stop_accepting()
+        self.assertIn(b"/second", receive_until(socket, b"/second"))
--- a/tests/test_review_lost.py
+++ b/tests/test_review_lost.py
@@ -60,23 +60,6 @@
         self.addCleanup(socket.close)
         return socket
 
-    def test_a_stop_drops_a_pipelined_request_that_was_read(self):
-        started = gevent.event.Event()
-
-        def answer(request):
-            started.set()
-            gevent.sleep(0.2)
-            return Reply(
-                Answered(200, [], Body(request.head.target)), [], lambda delivered: None
-            )
-
-        self.start_server(answer)
-        socket = self.connect()
-        socket.sendall(REQUEST + REQUEST.replace(b"/x", b"/second"))
-        started.wait()
-        self.server.stop_accepting()
-        self.assertIn(b"/second", receive_until(socket, b"/second"))
-
     def check_large_answer(self, extra):
         started = gevent.event.Event()
 
