Read unread bytes before a connection closes after its answer

A caller whose bytes were still unread as the node closed the connection (an empty line after a request, a pipelined request, the rest of a refused upload) could lose the end of its answer: 8 MB arrived as 4.1 MB and a reset.

Cause: the kernel resets a connection that is closed with unread bytes.

Change: if the last request was not read to its end or bytes are waiting, the node ends its sending side, then reads and drops what comes until the caller closes, for 1 s or 8 MiB at most, in the connection's own task. Other closes cost one peek and no time. It counts as an open connection meanwhile, so a stop waits for it within its bound.

--- a/src/fuchsiaspool/http/channels.py
+++ b/src/fuchsiaspool/http/channels.py
@@ -124,6 +124,10 @@
         self.disturbed = False
         self._start_read_watcher()
 
+    def end_sending(self) -> None:
+        """Tell the peer that no more bytes follow; raise `OSError`."""
+        self.socket.shutdown(gevent.socket.SHUT_WR)
+
     def abort(self) -> None:
         """Shut the connection down, which wakes a task that waits on it."""
         try:
--- a/src/fuchsiaspool/http/server.py
+++ b/src/fuchsiaspool/http/server.py
@@ -26,6 +26,7 @@
 from .channels import Channel
 from .messages import (
     LAST_CHUNK,
+    RECEIVE_BUFFER_BYTES,
     ConnectionClosedError,
     Head,
     HeaderTooLargeError,
@@ -44,6 +45,9 @@
 # Wait for the first byte on a connection still open once the listener has closed: its
 # caller has usually sent it already.
 CLOSED_LISTENER_IDLE_TIMEOUT_SECONDS: Final = 0.5
+# Bounds on what is read and dropped after the last answer on a connection.
+LINGER_SECONDS: Final = 1.0
+MAX_LINGER_BYTES: Final = 8_388_608
 _REASON_PHRASES: Final = {s.value: s.phrase.encode() for s in HTTPStatus}
 
 
@@ -205,6 +209,8 @@
         try:
             while self._serve_one(channel, reader, peer_address[0]):
                 reader.advance()
+            if not reader.complete or channel.peek() is PeekResult.DATA:
+                _linger(channel)
         except (ConnectionClosedError, IncompleteBodyError, OSError):
             return
         finally:
@@ -318,6 +324,19 @@
         _send(channel, *_encode_reply(method, reply, False, self._answer_format))
 
 
+def _linger(channel: Channel) -> None:
+    # Closing a socket with unread bytes resets the connection, which destroys the end
+    # of an answer that the caller has not received yet.
+    channel.end_sending()
+    channel.set_timeout(LINGER_SECONDS)
+    dropped_bytes = 0
+    while dropped_bytes < MAX_LINGER_BYTES:
+        data = channel.recv(RECEIVE_BUFFER_BYTES)
+        if not data:
+            return
+        dropped_bytes += len(data)
+
+
 def _make_cancel_on_close(cancellation: Cancellation) -> Callable[[PeekResult], None]:
     def cancel_on_close(result: PeekResult) -> None:
         if result is PeekResult.CLOSED:
