--- a/src/fuchsiaspool/http/channels.py
+++ b/src/fuchsiaspool/http/channels.py
@@ -62,7 +62,10 @@
         self._timer_due = _NEVER
 
     def set_timeout(self, seconds: float) -> None:
-        """Raise `TimeoutError` from any wait once this many seconds have passed."""
+        """Raise `TimeoutError` from any wait once this many seconds have passed.
+
+        Bytes that have arrived by then are still read.
+        """
         self._stall_seconds = _NEVER
         self._set_deadline(seconds)
 
@@ -121,6 +124,10 @@
         self.disturbed = False
         self._start_read_watcher()
 
+    def end_sending(self) -> None:
+        """Tell the peer that no more bytes follow; raise `OSError`."""
+        self.socket.shutdown(gevent.socket.SHUT_WR)
+
     def abort(self) -> None:
         """Shut the connection down, which wakes a task that waits on it."""
         try:
@@ -211,6 +218,10 @@
         self._timed_out = True
         error = TimeoutError("waited too long")
         if self._read_waiter is not None:
+            # If the event loop was late, bytes may have arrived before the deadline.
+            if self.peek() is PeekResult.DATA:
+                self._read_waiter.switch(None)
+                return
             self._read_waiter.throw(error)
         elif self._is_writing:
             gevent.socket.cancel_wait(self._write_watcher, error)
