Give up a waiting read that the store has lost

Callers could see "handled by an older version" for up to 28 s after the store was silent to some nodes or lost answers: its watchers waited for an answer that never comes, and only the polls of all nodes found changes.

Cause: the client waits 30 s for the answer to a waiting read. Keep-alive ends it only if the peer's TCP is dead, not if the store is silent, and a connection on which an answer was lost returns nothing further.

Change: a watcher waits in a task of its own and gives the read up when peers have had a change for a second that it has not brought (no request), or when a list that may lag, each 10 s, fails; a report of a peer that has lost the store brings the check forward, at most each 2 s. Then it reads anew or hands over.

tests.test_configuration passes unchanged.

--- a/src/fuchsiaspool/configuration_watch.py
+++ b/src/fuchsiaspool/configuration_watch.py
@@ -14,7 +14,13 @@
 from .clock import Clock, Waiter
 from .controllers.settings import SettingsReplica
 from .ids import Revision, SubtreePath, Version
-from .platform.objects import Listing, ObjectKey, PlatformStore, ReadFault
+from .platform.objects import (
+    Listing,
+    ObjectKey,
+    PlatformStore,
+    ReadFault,
+    WatchBatch,
+)
 from .results import Err, Ok, Result
 from .settings.objects import SettingsSnapshot
 
@@ -34,6 +40,13 @@
 MAX_BACKOFF_SECONDS: Final = 2.0
 # Interval at which a node checks if it has become a watcher; this needs no request.
 WATCHER_CHECK_SECONDS: Final = 2.0
+# A waiting read may be lost without a sign. A watcher sees that when peers have a
+# change for this long that its watch has not brought, or when a stale list fails.
+MISSED_CHANGE_SECONDS: Final = 1.0
+WATCH_CHECK_SECONDS: Final = 10.0
+# Shortest time between checks, whatever peers report.
+MIN_WATCH_CHECK_SECONDS: Final = 2.0
+WATCH_WAKE_SECONDS: Final = 0.5
 # A shorter wait may not advance a clock, because of rounding.
 MIN_WAIT_SECONDS: Final = 0.001
 # Mean interval between polls, counted over all nodes, so that a change is found even if
@@ -84,6 +97,8 @@
         self._failures = 0
         self._has_polled = False
         self._duty_waiter: Waiter | None = None
+        self._checked_at = clock.now()
+        self._check_at: float | None = None
 
     def load(self) -> Version | None:
         """Read and adopt the object; return the version to watch from, if readable."""
@@ -106,7 +121,10 @@
             since = self.watch(since)
 
     def review_duty(self) -> None:
-        """Check at once whether this node has become a watcher."""
+        """Check soon whether this node has become a watcher and can reach the store."""
+        if self._check_at is not None:
+            earliest = self._checked_at + MIN_WATCH_CHECK_SECONDS
+            self._check_at = min(self._check_at, earliest)
         if self._duty_waiter is not None:
             self._duty_waiter.notify()
 
@@ -115,7 +133,7 @@
 
         `None`: the platform failed or no longer has the version; read the object again.
         """
-        result = self._store.watch(self._key, since, WATCH_TIMEOUT_SECONDS)
+        result = self._await_change(since)
         match result:
             case Ok(events):
                 self._note_reachable(True)
@@ -129,6 +147,43 @@
         self._back_off()
         return None
 
+    def _await_change(self, since: Version) -> Result[WatchBatch, ReadFault]:
+        """Wait for the store in another task, until that seems to be in vain."""
+        known_revision = self._settings_replica.revision
+        waiter = self._clock.make_waiter()
+        results: list[Result[WatchBatch, ReadFault]] = []
+        checks: list[Result[Listing, ReadFault]] = []
+
+        def wait_for_store() -> None:
+            watched = self._store.watch(self._key, since, WATCH_TIMEOUT_SECONDS)
+            results.append(watched)
+            waiter.notify()
+
+        self._clock.spawn(wait_for_store)
+        if self._check_at is None:
+            # Watchers that start together check at different times.
+            pause = WATCH_CHECK_SECONDS * self._rng.random()
+            self._check_at = self._clock.now() + pause
+        missed_since: float | None = None
+        while not waiter.wait(WATCH_WAKE_SECONDS):
+            now = self._clock.now()
+            if now >= self._check_at:
+                self._checked_at = now
+                self._check_at = now + WATCH_CHECK_SECONDS
+                self._clock.spawn(
+                    lambda: checks.append(self._store.list_stale(self._make_prefix()))
+                )
+            if checks and self._adopt_listing(checks.pop()) is None:
+                return Err(ReadFault.UNAVAILABLE)
+            if self._settings_replica.revision == known_revision:
+                missed_since = None
+            elif missed_since is None:
+                missed_since = now
+            elif now - missed_since >= MISSED_CHANGE_SECONDS:
+                # The object has to be read again, as after a gap in the history.
+                return Err(ReadFault.VERSION_TOO_OLD)
+        return results[0]
+
     def _await_peers(self) -> None:
         # When many nodes start at once, the watchers read the configuration and send it
         # to the others. A node without known peers cannot decide who is a watcher.
--- a/tests/test_configuration_faults.py
+++ b/tests/test_configuration_faults.py
@@ -27,6 +27,8 @@
 
 # The users' limit for a change to take effect where the store serves all nodes.
 CALM_LIMIT_SECONDS = 2.5
+# Time after a disturbance of the store from which on the limit counts.
+STABILITY_SECONDS = 4.0
 # Time that the client waits for an answer, its margins included.
 LIST_TIMEOUT_SECONDS = 1.2
 SILENT_WATCH_SECONDS = WATCH_TIMEOUT_SECONDS + 2.2
@@ -208,6 +210,29 @@
                     late = sum(delay > CHANGE_LIMIT_SECONDS for delay in delays)
                     self.assertLessEqual(late, 0.002 * seeds)
 
+    def test_others_watch_when_the_store_ignores_half_of_the_nodes(self):
+        for wait in (0.0, 1.0):
+            with self.subTest(wait=wait):
+                delays = self.measure_changes(18, 200, 0.5, wait, silent=True)
+                late = sum(delay > CHANGE_LIMIT_SECONDS for delay in delays)
+                self.assertLessEqual(late, 0.02 * len(delays))
+
+    def test_watches_that_the_store_has_lost_are_replaced(self):
+        for seed in range(100):
+            fleet = DutyFleet(18, seed, silent=True)
+            fleet.store_revision()
+            fleet.clock.advance(10.0)
+            fleet.unreachable_nodes |= set(range(18))
+            fleet.clock.advance(1.0)
+            fleet.store_revision()
+            fleet.clock.advance(1.0)
+            fleet.unreachable_nodes.clear()
+            # The waiting reads of before return nothing for 26 s.
+            fleet.clock.advance(STABILITY_SECONDS)
+            fleet.clock.advance(CALM_LIMIT_SECONDS)
+            self.assertEqual(fleet.count_up_to_date(), 18)
+            self.assertLessEqual(fleet.measure_change(), CALM_LIMIT_SECONDS)
+
     def test_stand_ins_ask_rarely_while_the_store_is_away_for_all(self):
         for count in (18, 195):
             with self.subTest(nodes=count):
