Show that a late heartbeat brings a leaving server back after a restart

Cause: that a server leaves is known to the process that acknowledged it. After a restart of the node the first heartbeat that arrives is believed, whatever its number, and heartbeats may be seconds late.

Evidence: over sockets, "draining" with number 5 acknowledged, the node restarted, then "ready" with number 4: the next request reaches the server.

--- /dev/null
+++ b/tests/test_drain_after_restart.py
@@ -0,0 +1,76 @@
+"""Test that a restart of a node does not bring a leaving server back."""
+
+import unittest
+
+from fuchsiaspool.addresses import Address
+from fuchsiaspool.controllers.backend_server import (
+    BackendServer,
+    ServerReport,
+    ServerState,
+)
+from fuchsiaspool.ids import InstanceId, ServiceName
+from fuchsiaspool.sidecar import NodeState, Sidecar
+
+from .sidecar_case import SidecarTestCase
+
+
+class DrainAfterRestartTests(SidecarTestCase):
+    def restart_deep_node(self):
+        self.deep.abort()
+        # The kept connections lead to handlers of the aborted node.
+        self.http.clear()
+        self.deep = Sidecar(self.deep.options)
+        self.deep.start()
+        self.addCleanup(self.deep.abort)
+        self.await_condition(lambda: self.deep.state is NodeState.READY)
+
+    def test_delayed_ready_heartbeat_revives_a_leaving_server(self):
+        self.start_pair()
+        self.assertEqual(self.send_heartbeat(self.deep, "draining", sequence=5), 200)
+        self.restart_deep_node()
+        # Sent before the one that said "draining", and delivered late.
+        self.send_heartbeat(self.deep, "ready", sequence=4)
+        self.await_condition(lambda: self.deep.members.count_live() > 1)
+        self.send_request(node=self.deep)
+        self.assertEqual(self.server.requests, [])
+
+    def test_restart_alone_revives_a_leaving_server(self):
+        self.start_pair()
+        self.assertEqual(self.send_heartbeat(self.deep, "draining", sequence=5), 200)
+        self.restart_deep_node()
+        self.await_condition(lambda: self.deep.members.count_live() > 1)
+        self.send_request(node=self.deep)
+        self.send_heartbeat(self.deep, "draining", sequence=6)
+        self.send_heartbeat(self.deep, "ready", sequence=4)
+        self.send_request(node=self.deep)
+        self.assertEqual(self.server.requests, [])
+
+
+class BackendServerTests(unittest.TestCase):
+    def test_late_ready_heartbeat_does_not_revive_within_one_process(self):
+        server = BackendServer(ServiceName("quota"), Address("10.0.0.1", 80))
+
+        def report(state, sequence, born=100):
+            server.handle_report(
+                ServerReport(
+                    InstanceId("i-1"),
+                    ServiceName("quota"),
+                    Address("10.0.0.1", 80),
+                    10,
+                    state,
+                    sequence,
+                    born,
+                )
+            )
+
+        report(ServerState.READY, 1)
+        report(ServerState.DRAINING, 5)
+        report(ServerState.READY, 4)
+        self.assertIs(server.state, ServerState.DRAINING)
+        # A probe that was answered earlier has neither start time nor sequence.
+        report(ServerState.READY, 0, born=0)
+        self.assertIs(server.state, ServerState.DRAINING)
+
+
+if __name__ == "__main__":
+    unittest.main()
