Repair an announcement after a restore for leaving and restarted nodes too

Nodes that start could meet the announcement of a node that has left: one that left while it was announcing itself again was announced after its withdrawal, and a restore brought a withdrawn announcement back while its node still ran. A node that restarted could take a copy of the list that lags for its present announcement and be missing from the store for up to twenty minutes.

Change: a withdrawal is final; an announcement written meanwhile is deleted, one that a restore brings back is withdrawn again. Where the store was ever restored, a node looks for its own announcement itself. Lists of an earlier era still tell members, which have an order of their own, and nothing else. One task a node repairs its announcement, at most once in five seconds.

--- a/src/fuchsiaspool/controllers/registry.py
+++ b/src/fuchsiaspool/controllers/registry.py
@@ -22,6 +22,7 @@
 )
 from ..results import Err, Ok
 from .member_table import MemberTable
+from .store_era import FIRST_ERA
 from .subsets import choose_subset
 
 _LOG = logging.getLogger(__name__)
@@ -33,11 +34,13 @@
 EXPIRY_GRACE_SECONDS: Final = 2 * LEASE_SECONDS
 # A dead member keeps its announcement for this time, in case it was only cut off.
 DEAD_REMOVAL_DELAY_SECONDS: Final = 30.0
-# Rate at which all nodes together confirm their announcements after a restore of the
-# store. Its limits of calls are several times as high.
+# Rate at which all nodes together look for their announcements after a restore of the
+# store. The store's limits of calls are several times as high.
 CONFIRMATIONS_PER_SECOND: Final = 100.0
 MIN_CONFIRM_BACKOFF_SECONDS: Final = 0.5
 MAX_CONFIRM_BACKOFF_SECONDS: Final = 4.0
+# Pause after which a peer may cause the next look, whatever it states.
+CONFIRM_PAUSE_SECONDS: Final = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +91,7 @@
     ) -> None:
         self.reachable = False
         self.announced = False
+        self._withdrawn = False
         self._leases = leases
         self._get_era = get_era
         self._clock = clock
@@ -96,12 +100,13 @@
         self._get_local_member = get_local_member
         self._version: Version | None = None
         self._reachable_since: float | None = None
-        # Of the last list that was read.
-        self._era = Era(0)
+        self._listed_era = Era(0)
         self._observations: dict[ObjectKey, _Observation] = {}
 
     def announce(self) -> bool:
         """Create or renew the announcement and return whether that succeeded."""
+        if self._withdrawn:
+            return False
         local = self._get_local_member()
         lease = self._clock.wall() + self._leases.lease
         value = msgspec.json.encode(Announcement(local, lease))
@@ -115,11 +120,15 @@
         self.announced = isinstance(outcome, Applied)
         if isinstance(outcome, Applied):
             self._version = outcome.version
-            return True
+            if self._withdrawn:
+                # The withdrawal came while this was being written.
+                self._store.delete(key, outcome.version)
+                self.announced = False
+            return self.announced
         self._reachable_since = None if not self.reachable else self._reachable_since
         return False
 
-    def confirm(self) -> bool:
+    def ensure_announced(self) -> bool:
         """Announce this node again unless its announcement still stands.
 
         Return whether one stands in the store now.
@@ -139,34 +148,39 @@
                 return False
         return self.announced or self.announce()
 
-    def confirm_after_restore(
-        self, rng: random.Random, is_leaving: Callable[[], bool]
-    ) -> None:
-        """Confirm the announcement once the store was restored; block meanwhile.
+    def repair_announcement(self, rng: random.Random) -> None:
+        """Undo what a restore of the store did to the announcement; block meanwhile.
 
         The store may have lost it, and then nodes that start later would not find this
-        one.
+        one, or may have brought back one that was withdrawn.
         """
         spread = self._table.count_live() / CONFIRMATIONS_PER_SECOND
         self._clock.sleep(rng.uniform(0.0, spread))
         backoff = MIN_CONFIRM_BACKOFF_SECONDS
-        while not is_leaving() and not self.confirm():
+        while not self._withdrawn and not self.ensure_announced():
             self._clock.sleep(backoff * rng.uniform(0.7, 1.3))
             backoff = min(2 * backoff, MAX_CONFIRM_BACKOFF_SECONDS)
+        if self._withdrawn:
+            self._delete_own_announcement()
+        self._clock.sleep(CONFIRM_PAUSE_SECONDS)
 
     def withdraw(self) -> None:
         """Delete the announcement, unless a later process has written it.
 
         A store that was restored from a copy holds it at another version.
         """
+        self._withdrawn = True
         if self._version is None:
             return
         key = make_announcement_key(self._get_local_member())
         outcome = self._store.delete(key, self._version)
-        if not isinstance(outcome, Conflict):
-            return
+        if isinstance(outcome, Conflict):
+            self._delete_own_announcement()
+
+    def _delete_own_announcement(self) -> None:
+        key = make_announcement_key(self._get_local_member())
         match self._store.get(key):
-            case Ok(stored) if self._is_written_here(stored):
+            case Ok(stored) if self._is_not_from_later_process(stored):
                 self._store.delete(key, stored.version)
 
     def read_members(self, allow_stale: bool = False) -> bool:
@@ -184,19 +198,23 @@
             self._reachable_since = None
             self._observations.clear()
             return False
-        if listed.value.era < max(self._era, self._get_era()):
-            # A copy that lags, from before the store was restored.
-            return False
-        if listed.value.era > self._era:
+        if listed.value.era < max(self._listed_era, self._get_era()):
+            # A copy that lags, from before the store was restored. Records of members
+            # have an order of their own, so that only they are of use.
+            self._merge(listed.value, adopts_own=False)
+            return True
+        if listed.value.era > self._listed_era:
             # Announcements may be missing until their nodes announce them again, and
             # versions that were observed may have been given out anew.
-            self._era = listed.value.era
+            self._listed_era = listed.value.era
             self._reachable_since = None
             self._observations.clear()
         now = self._clock.now()
         if self._reachable_since is None:
             self._reachable_since = now
-        alive = self._merge(listed.value)
+        # A copy that lags may be from before a restore, whatever era its answer states.
+        adopts_own = not allow_stale or listed.value.era <= FIRST_ERA
+        alive = self._merge(listed.value, adopts_own)
         if now - self._reachable_since >= self._leases.expiry_grace:
             self._mark_expired_dead(alive)
         self._remove_abandoned(listed.value)
@@ -221,7 +239,7 @@
         if version is not None:
             self._delete(key, version)
 
-    def _merge(self, listing: Listing) -> set[NodeId]:
+    def _merge(self, listing: Listing, adopts_own: bool) -> set[NodeId]:
         alive: set[NodeId] = set()
         for stored in listing.items:
             announcement = _decode_announcement(stored)
@@ -231,12 +249,16 @@
             local = self._get_local_member()
             if announcement.member.node != local.node:
                 self._table.merge(announcement.member)
-            elif self._version is None and self._is_still_valid(announcement, local):
+            elif (
+                adopts_own
+                and self._version is None
+                and self._is_still_valid(announcement, local)
+            ):
                 self._version = stored.version
                 self.announced = True
         return alive
 
-    def _is_written_here(self, stored: StoredObject) -> bool:
+    def _is_not_from_later_process(self, stored: StoredObject) -> bool:
         announcement = _decode_announcement(stored)
         incarnation = self._get_local_member().incarnation
         return (
--- a/src/fuchsiaspool/node.py
+++ b/src/fuchsiaspool/node.py
@@ -63,6 +63,7 @@
         self.cut_off_calls = 0
         self._calls_in_flight: dict[int, Call] = {}
         self._tasks: list[gevent.Greenlet] = []
+        self._repair_task = gevent.Greenlet()
         self.components = NodeComponents(
             options, self._find_rejection_reason, write_trace
         )
@@ -74,6 +75,7 @@
         self.claims = self.components.claims
         self._build_listeners()
         self.components.store_era.add_listener(self._handle_store_restore)
+        self.components.store_era.add_hint_listener(self._repair_announcement)
 
     def start(self) -> None:
         """Listen, join the fleet, adopt the newest settings, then serve."""
@@ -123,7 +125,7 @@
         self.state = NodeState.STOPPED
         for server in (self._caller_server, self._mesh_server, self._egress_server):
             server.stop_accepting()
-        gevent.killall(self._tasks, block=False)
+        gevent.killall([*self._tasks, self._repair_task], block=False)
         self.components.transport.stop()
         self._control_server.stop()
         self.components.pool.close()
@@ -232,11 +234,13 @@
 
     def _handle_store_restore(self) -> None:
         self.membership.push_gossip()
-        self._spawn(
-            self.components.registry.confirm_after_restore,
-            self._rng,
-            lambda: self.state in (NodeState.LEAVING, NodeState.STOPPED),
-        )
+        self._repair_announcement()
+
+    def _repair_announcement(self) -> None:
+        if self._repair_task.started and not self._repair_task.dead:
+            return
+        repair = self.components.registry.repair_announcement
+        self._repair_task = gevent.spawn(repair, self._rng)
 
     def _sweep_loop(self) -> None:
         sweeper = ShardSweeper(self._clock, self.components.store)
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -34,7 +34,7 @@
 from .controllers.retries import RetryBudget
 from .controllers.server_notices import LocalServerNotices
 from .controllers.settings import SettingsReplica
-from .controllers.store_era import StoreEra
+from .controllers.store_era import FIRST_ERA, StoreEra
 from .controllers.threshold import LearnedThresholds
 from .controllers.token_bucket import TokenBucket
 from .controllers.watch_duty import WatchDuty
@@ -162,6 +162,7 @@
         self._calls_in_flight: dict[int, Call] = {}
         self._tasks: list[gevent.Greenlet] = []
         self._watch_task = gevent.Greenlet()
+        self._repair_task = gevent.Greenlet()
         self.histograms = Histograms()
         self.counters = OutcomeCounters()
         self.members = MemberTable()
@@ -416,6 +417,7 @@
         self.server.add_listener(self._apply_reported_slots)
         self.members.add_listener(self._handle_member_change)
         self.store_era.add_listener(self._handle_store_restore)
+        self.store_era.add_hint_listener(self._repair_announcement)
 
     def start(self) -> None:
         """Listen, join the fleet, adopt the newest configuration, then serve."""
@@ -474,7 +476,7 @@
         for call in self._calls_in_flight.values():
             _LOG.error("call cut off", extra={"request": call.request})
         self.state = NodeState.STOPPED
-        gevent.killall([*self._tasks, self._watch_task], block=False)
+        self._kill_tasks()
         _LOG.info(
             "stopped",
             extra={
@@ -518,7 +520,7 @@
     def abort(self) -> None:
         """Stop at once; calls in flight are cut off."""
         self.state = NodeState.STOPPED
-        gevent.killall([*self._tasks, self._watch_task], block=False)
+        self._kill_tasks()
         for server in (self._outbound_server, self._inbound_server):
             server.kill()
         for endpoint in self._endpoint_servers:
@@ -527,6 +529,10 @@
         self.pool.close()
         self.stopped.set()
 
+    def _kill_tasks(self) -> None:
+        tasks = [*self._tasks, self._watch_task, self._repair_task]
+        gevent.killall(tasks, block=False)
+
     def reload(self, options: PlatformOptions) -> None:
         """Adopt changed settings; addresses and location change only at a restart."""
         result = merge_options(self.options, options)
@@ -556,7 +562,12 @@
 
     def _announce(self) -> None:
         backoff = MIN_ANNOUNCE_BACKOFF_SECONDS
-        while not self.registry.announced and not self.registry.announce():
+        # An announcement from before a restart is not seen in a list that may lag.
+        was_restored = self.store_era.current > FIRST_ERA
+        announce = (
+            self.registry.ensure_announced if was_restored else self.registry.announce
+        )
+        while not self.registry.announced and not announce():
             gevent.sleep(backoff * self.rng.uniform(0.7, 1.3))
             backoff = min(2 * backoff, MAX_ANNOUNCE_BACKOFF_SECONDS)
             if self.members.count_live() <= 1:
@@ -626,11 +637,12 @@
         # Most nodes do not read the store by themselves for a long time.
         self.membership.push_gossip()
         self.membership.push_gossip_to_region()
-        self._spawn(
-            self.registry.confirm_after_restore,
-            self.rng,
-            lambda: self.state in (NodeState.LEAVING, NodeState.STOPPED),
-        )
+        self._repair_announcement()
+
+    def _repair_announcement(self) -> None:
+        if self._repair_task.started and not self._repair_task.dead:
+            return
+        self._repair_task = gevent.spawn(self.registry.repair_announcement, self.rng)
 
     def _restart_watch(self) -> None:
         # A watch sent before the restore may wait for a revision of the earlier era.
