Believe the era of the store only from the store

A peer with a wrong era, or a garbled header, could stop a whole fleet from reading members, silence a node towards its peers, or end its watch for good; a peer that states ever new eras caused a call to the store each.

Change: an era that a peer states is a hint on which a node reads its own announcement; the answer's era is adopted. Headers that are no number of at most 18 digits state no era.

--- a/src/fuchsiaspool/peers/wiring.py
+++ b/src/fuchsiaspool/peers/wiring.py
@@ -33,7 +33,7 @@
             lambda: settings_replica.revision,
             settings_replica.receive_revision,
             lambda: store_era.current,
-            store_era.observe,
+            store_era.receive_hint,
         )
     )
     bus.register_handler(Ping, membership.receive_ping)
--- a/src/fuchsiaspool/platform/client.py
+++ b/src/fuchsiaspool/platform/client.py
@@ -65,6 +65,8 @@
 _TOTAL_TIMEOUT_MARGIN_SECONDS: Final = 0.2
 # Answers are buffered whole: a page has 1 MB or one object, whichever is larger.
 MAX_ANSWER_BYTES: Final = 8_388_608
+# Longer eras do not fit the messages between nodes.
+MAX_ERA_DIGITS: Final = 18
 
 ObserveEra = Callable[[Era], None]
 
@@ -287,7 +289,9 @@
 
 def _parse_era(text: str | None) -> Era:
     # Zero stands for a store that states no era.
-    return Era(int(text)) if text is not None and text.isdecimal() else Era(0)
+    if text is None or not text.isascii() or not text.isdecimal():
+        return Era(0)
+    return Era(int(text)) if len(text) <= MAX_ERA_DIGITS else Era(0)
 
 
 def _to_stored_object(key: ObjectKey, store_object: StoreObject) -> StoredObject:
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -1,5 +1,6 @@
 """Test announcements after a restore of the store, and eras that are wrong."""
 
+import contextlib
 import random
 import unittest
 
@@ -8,7 +9,8 @@
 from fuchsiaspool.clock import SystemClock
 from fuchsiaspool.controllers.member_table import MemberTable
 from fuchsiaspool.controllers.registry import Registry, make_announcement_key
-from fuchsiaspool.ids import Era
+from fuchsiaspool.ids import Era, Revision
+from fuchsiaspool.peers.messages import Ack, Envelope, encode_envelope
 from fuchsiaspool.platform.client import make_platform_store
 
 from .support import make_member
@@ -81,5 +83,60 @@
         self.assertIsNotNone(table.find("a"))
 
 
+class WrongEraTests(RestoredStoreCase):
+    def receive_era(self, node, era):
+        envelope = Envelope(
+            "broken", "127.0.0.1:9", "north-1", Revision(0), [], Ack(0), Era(era)
+        )
+        node.bus.receive(encode_envelope(envelope))
+
+    def test_a_configuration_is_adopted_after_an_era_beyond_64_bits(self):
+        self.start_pair()
+        self.store.era = 10**20
+        self.write_configuration(9)
+        self.await_served(9, self.nodes)
+
+    def test_a_node_pings_its_peers_after_an_era_beyond_64_bits(self):
+        self.start_pair()
+        self.store.era = 10**20
+        gevent.sleep(0.1)
+        with contextlib.suppress(OverflowError):
+            self.edge.registry.ensure_announced()
+        sent = self.edge.transport.sent_bytes
+        gevent.sleep(3.0)
+        self.assertGreater(self.edge.transport.sent_bytes, sent)
+
+    def test_a_configuration_is_adopted_after_an_era_of_many_digits(self):
+        self.start_pair()
+        self.store.era = "9" * 5000
+        self.write_configuration(9)
+        gevent.sleep(0.5)
+        self.store.era = 2
+        self.write_configuration(11)
+        self.await_served(11, self.nodes)
+
+    def test_members_are_read_although_a_peer_stated_a_wrong_era(self):
+        self.start_pair()
+        self.receive_era(self.edge, 2**40)
+        gevent.sleep(0.5)
+        self.assertTrue(self.edge.registry.read_members())
+
+    def test_members_are_read_from_a_store_that_states_no_era_any_more(self):
+        self.start_pair()
+        self.store.era = ""
+        self.assertTrue(self.edge.registry.read_members())
+
+    def test_rising_eras_of_a_peer_cause_few_calls_to_the_store(self):
+        self.start_pair()
+        # Without the reads of nodes that have just started.
+        gevent.sleep(12.0)
+        reads = self.platform.request_counts.reads
+        for era in range(2, 52):
+            self.receive_era(self.edge, era)
+        gevent.sleep(1.0)
+        self.assertLessEqual(self.platform.request_counts.reads - reads, 10)
+        self.assertLess(len(self.edge._tasks), 20)
+
+
 if __name__ == "__main__":
     unittest.main()
