--- a/src/fuchsiaspool/node.py
+++ b/src/fuchsiaspool/node.py
@@ -95,7 +95,7 @@
         self._spawn(self._sweep_loop)
 
     def stop(self) -> None:
-        """Accept no new work, wait for the calls in flight, then stop; this blocks."""
+        """Accept no new work, wait for open connections, then stop; this blocks."""
         if self.state in (NodeState.LEAVING, NodeState.STOPPED):
             return
         self.state = NodeState.LEAVING
--- a/tests/test_lost_at_stop.py
+++ b/tests/test_lost_at_stop.py
@@ -25,6 +25,7 @@
 )
 BODY = b"\r\nbody"
 REQUEST = HEAD + BODY
+LARGE_BODY = b"x" * 8_000_000
 
 
 def answer_slowly(request):
@@ -228,6 +229,65 @@
         self.assertIsNone(stopping.exception)
         self.assertTrue(self.edge.stopped.is_set())
 
+    def test_a_head_without_end_prolongs_a_stop_no_longer_than_the_grace(self):
+        self.start_pair()
+        socket = self.connect()
+        socket.sendall(make_request()[:-2])
+        gevent.sleep(0.1)
+        seconds = self.exit_after_stop(self.edge)
+        print(f"\nstop with half a head: {seconds:.3f} s of a grace of 2 s")
+        self.assertLess(seconds, 2.0)
+
+    def test_a_caller_that_does_not_read_prolongs_a_stop_within_the_grace(self):
+        self.start_pair(lambda request: request.answer(body=LARGE_BODY))
+        socket = self.connect()
+        socket.sendall(make_request())
+        gevent.sleep(0.3)
+        seconds = self.exit_after_stop(self.edge)
+        print(f"\nstop with a caller that does not read: {seconds:.3f} s")
+        self.assertLess(seconds, 2.0)
+
+    def test_many_connections_without_a_request_delay_a_stop_by_half_a_second(self):
+        self.start_pair()
+        sockets = [self.connect() for _ in range(200)]
+        gevent.sleep(0.1)
+        seconds = self.exit_after_stop(self.edge)
+        print(f"\nstop with {len(sockets)} silent connections: {seconds:.3f} s")
+        self.assertLess(seconds, 1.7)
+
+    def test_a_stop_with_nothing_open_takes_no_longer(self):
+        self.start_pair()
+        self.assertEqual(self.send_request().status, 200)
+        seconds = self.exit_after_stop(self.edge)
+        print(f"\nstop with one idle connection: {seconds:.3f} s")
+        self.assertLess(seconds, 1.2)
+
+    def test_a_second_stop_signal_does_not_cut_a_request(self):
+        def answer(request):
+            gevent.sleep(0.4)
+            return request.answer()
+
+        self.start_pair(answer)
+        socket = self.connect()
+        gevent.sleep(0.05)
+        gevent.spawn(self.exit_after_stop, self.edge)
+        gevent.sleep(0.8)
+        socket.sendall(make_request())
+        gevent.sleep(0.1)
+        self.edge.stop()
+        self.assertIn(b"fine", receive_until(socket, b"fine"))
+
+    def test_a_pooled_connection_that_a_leaving_peer_just_closed_gives_an_answer(self):
+        self.start_pair()
+        self.assertEqual(self.send_request().status, 200)
+        self.deep.close_listeners()
+        received = []
+        for path, method in (("/read/1", "GET"), ("/certify/1", "POST")):
+            answer = self.send_request(path, method)
+            received.append((method, answer.status, answer.data))
+        print(f"\nclosed by a leaving peer: {received}")
+        self.assertTrue(all(status >= 500 for _, status, _ in received))
+
 
 class LostAtStopOfNodeTests(unittest.TestCase):
     def test_a_request_half_sent_as_the_listeners_close_gets_no_answer(self):
--- a/tests/test_review_lost.py
+++ b/tests/test_stop_under_load.py
@@ -1,4 +1,4 @@
-"""Test ways in which a whole request may end without a complete answer."""
+"""Test that a stop under load leaves no request that was passed on unanswered."""
 
 import json
 import signal
@@ -10,13 +10,8 @@
 import gevent.event
 import gevent.socket
 import urllib3
-from gevent.monkey import get_original
 
-from fuchsiaspool.bodies import Body
 from fuchsiaspool.clock import SystemClock
-from fuchsiaspool.http.answer_format import DEFAULT_ANSWER_FORMAT, AnswerFormat
-from fuchsiaspool.http.server import HttpServer, Reply
-from fuchsiaspool.outcomes import Answered
 from fuchsiaspool.platform.client import make_platform_store
 from fuchsiaspool.platform.configuration import CONFIGURATION_KEY
 
@@ -25,42 +20,8 @@
 from .support import allocate_address
 from .test_sidecar_process import SETTINGS
 
-REQUEST = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
-LARGE_BODY = b"x" * 8_000_000
-block_event_loop = get_original("time", "sleep")
 
-
-class ServerTests(SidecarTestCase):
-    def setUp(self):
-        """Start no platform."""
-        self.handled = []
-
-    def start_server(self, handle=None, idle_timeout=60.0, **fields):
-        def answer(request):
-            self.handled.append(request.head.target)
-            return Reply(Answered(200, [], Body(b"done")), [], lambda delivered: None)
-
-        answer_format = AnswerFormat(
-            DEFAULT_ANSWER_FORMAT.filter_answer_headers,
-            DEFAULT_ANSWER_FORMAT.choose_status,
-            DEFAULT_ANSWER_FORMAT.format_retry_after,
-            lambda: idle_timeout,
-        )
-        self.server = HttpServer(
-            allocate_address(), handle or answer, answer_format=answer_format, **fields
-        )
-        self.server.start()
-        self.addCleanup(self.server.kill)
-
-    def connect(self, plain=False):
-        module = get_original("socket", "create_connection") if plain else None
-        connect = module or gevent.socket.create_connection
-        socket = connect((self.server.address.host, self.server.address.port))
-        self.addCleanup(socket.close)
-        return socket
-
-
-class NodeTests(SidecarTestCase):
+class StopUnderLoadTests(SidecarTestCase):
     def connect(self, node=None):
         address = (node or self.edge).options.outbound
         socket = gevent.socket.create_connection((address.host, address.port))
@@ -73,65 +34,6 @@
         node.abort()
         return node.clock.now() - started
 
-    def test_a_head_without_end_prolongs_a_stop_no_longer_than_the_grace(self):
-        self.start_pair()
-        socket = self.connect()
-        socket.sendall(make_request()[:-2])
-        gevent.sleep(0.1)
-        seconds = self.exit_after_stop(self.edge)
-        print(f"\nstop with half a head: {seconds:.3f} s of a grace of 2 s")
-        self.assertLess(seconds, 2.0)
-
-    def test_a_caller_that_does_not_read_prolongs_a_stop_within_the_grace(self):
-        self.start_pair(lambda request: request.answer(body=LARGE_BODY))
-        socket = self.connect()
-        socket.sendall(make_request())
-        gevent.sleep(0.3)
-        seconds = self.exit_after_stop(self.edge)
-        print(f"\nstop with a caller that does not read: {seconds:.3f} s")
-        self.assertLess(seconds, 2.0)
-
-    def test_many_connections_without_a_request_delay_a_stop_by_half_a_second(self):
-        self.start_pair()
-        sockets = [self.connect() for _ in range(200)]
-        gevent.sleep(0.1)
-        seconds = self.exit_after_stop(self.edge)
-        print(f"\nstop with {len(sockets)} silent connections: {seconds:.3f} s")
-        self.assertLess(seconds, 1.7)
-
-    def test_a_stop_with_nothing_open_takes_no_longer(self):
-        self.start_pair()
-        self.assertEqual(self.send_request().status, 200)
-        seconds = self.exit_after_stop(self.edge)
-        print(f"\nstop with one idle connection: {seconds:.3f} s")
-        self.assertLess(seconds, 1.2)
-
-    def test_a_second_stop_signal_does_not_cut_a_request(self):
-        def answer(request):
-            gevent.sleep(0.4)
-            return request.answer()
-
-        self.start_pair(answer)
-        socket = self.connect()
-        gevent.sleep(0.05)
-        gevent.spawn(self.exit_after_stop, self.edge)
-        gevent.sleep(0.8)
-        socket.sendall(make_request())
-        gevent.sleep(0.1)
-        self.edge.stop()
-        self.assertIn(b"fine", receive_until(socket, b"fine"))
-
-    def test_a_pooled_connection_that_a_leaving_peer_just_closed_gives_an_answer(self):
-        self.start_pair()
-        self.assertEqual(self.send_request().status, 200)
-        self.deep.close_listeners()
-        received = []
-        for path, method in (("/read/1", "GET"), ("/certify/1", "POST")):
-            answer = self.send_request(path, method)
-            received.append((method, answer.status, answer.data))
-        print(f"\nclosed by a leaving peer: {received}")
-        self.assertTrue(all(status >= 500 for _, status, _ in received))
-
     def test_a_stop_under_load_loses_no_request_that_was_passed_on(self):
         def answer(request):
             gevent.sleep(0.02)
@@ -170,7 +72,7 @@
         self.assertEqual(load.statuses[502], 0)
 
 
-class ProcessTests(SidecarTestCase):
+class ProcessStopUnderLoadTests(SidecarTestCase):
     def test_a_process_that_stops_under_load_loses_no_request_that_was_passed_on(self):
         def answer(request):
             gevent.sleep(0.1)
