--- a/tests/soak_operator.py
+++ b/tests/soak_operator.py
@@ -19,6 +19,7 @@
 # after this many drops it.
 ROUTE_VERSIONS = 3
 MAX_INCREMENT = 40
+CHANGE_PAUSES_SECONDS = (0.3, 1.2)
 REWRITE_PAUSE_SECONDS = 0.1
 
 
@@ -61,6 +62,11 @@
             self.versions.append(ConfigurationVersion(number, self.soak.now()))
             self.write(len(self.versions) - 1)
 
+    def change_until(self, until):
+        while self.soak.now() < until:
+            gevent.sleep(self.soak.rng.uniform(*CHANGE_PAUSES_SECONDS))
+            self.change()
+
     def rewrite(self):
         """Write the last acknowledged version again; the caller holds the lock."""
         index = self.find_required(self.soak.now())
