--- a/src/fuchsiaspool/configuration_watch.py
+++ b/src/fuchsiaspool/configuration_watch.py
@@ -11,10 +11,17 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
-from .clock import Clock
+from .clock import Clock, Waiter
 from .controllers.settings import SettingsReplica
 from .ids import Revision, SubtreePath
-from .platform.objects import Listing, ObjectKey, PlatformStore, Position, ReadFault
+from .platform.objects import (
+    Listing,
+    ObjectKey,
+    PlatformStore,
+    Position,
+    ReadFault,
+    WatchBatch,
+)
 from .results import Err, Ok, Result
 from .settings.objects import SettingsSnapshot
 
@@ -34,6 +41,15 @@
 MAX_BACKOFF_SECONDS: Final = 2.0
 # Interval at which a node checks if it has become a watcher; this needs no request.
 WATCHER_CHECK_SECONDS: Final = 2.0
+# A waiting read may be lost without a sign. A watcher sees that when peers have a
+# change for this long that its watch has not brought, or when a stale list fails.
+MISSED_CHANGE_SECONDS: Final = 1.0
+WATCH_CHECK_SECONDS: Final = 10.0
+# Shortest time between checks, whatever peers report.
+MIN_WATCH_CHECK_SECONDS: Final = 2.0
+WATCH_WAKE_SECONDS: Final = 0.5
+# A shorter wait may not advance a clock, because of rounding.
+MIN_WAIT_SECONDS: Final = 0.001
 # Mean interval between polls, counted over all nodes, so that a change is found even if
 # every watcher is cut off from the platform. The interval has a margin to 2.5 s, which
 # is half of the shortest time within which a change must take effect.
@@ -49,11 +65,13 @@
     count_nodes: number of nodes in the fleet, this one included
     push_to_region: sends gossip about a new revision to the other data centres of
         this region
+    report_lost: tells those that may stand in that this node can't read the store
     """
 
     is_watcher: Callable[[], bool]
     count_nodes: Callable[[], int]
     push_to_region: Callable[[], None]
+    report_lost: Callable[[], None] = lambda: None
 
 
 class ConfigurationWatch:
@@ -83,6 +101,10 @@
         self._fleet = fleet
         self._rng = rng
         self._failures = 0
+        self._has_polled = False
+        self._duty_waiter: Waiter | None = None
+        self._checked_at = clock.now()
+        self._check_at: float | None = None
 
     def load(self) -> Position | None:
         """Read and adopt the object; return the position to watch from, if readable."""
@@ -104,12 +126,20 @@
                 continue
             since = self.watch(since)
 
+    def review_duty(self) -> None:
+        """Check soon whether this node has become a watcher and can reach the store."""
+        if self._check_at is not None:
+            earliest = self._checked_at + MIN_WATCH_CHECK_SECONDS
+            self._check_at = min(self._check_at, earliest)
+        if self._duty_waiter is not None:
+            self._duty_waiter.notify()
+
     def watch(self, since: Position) -> Position | None:
         """Wait once for a change; return the position to go on from.
 
         `None`: the platform failed or no longer has the position; read again.
         """
-        result = self._store.watch(self._key, since, WATCH_TIMEOUT_SECONDS)
+        result = self._await_change(since)
         match result:
             case Ok(events):
                 self._note_reachable(True)
@@ -123,6 +153,43 @@
         self._back_off()
         return None
 
+    def _await_change(self, since: Position) -> Result[WatchBatch, ReadFault]:
+        """Wait for the store in another task, until that seems to be in vain."""
+        known_revision = self._settings_replica.revision
+        waiter = self._clock.make_waiter()
+        results: list[Result[WatchBatch, ReadFault]] = []
+        checks: list[Result[Listing, ReadFault]] = []
+
+        def wait_for_store() -> None:
+            watched = self._store.watch(self._key, since, WATCH_TIMEOUT_SECONDS)
+            results.append(watched)
+            waiter.notify()
+
+        self._clock.spawn(wait_for_store)
+        if self._check_at is None:
+            # Watchers that start together check at different times.
+            pause = WATCH_CHECK_SECONDS * self._rng.random()
+            self._check_at = self._clock.now() + pause
+        missed_since: float | None = None
+        while not waiter.wait(WATCH_WAKE_SECONDS):
+            now = self._clock.now()
+            if now >= self._check_at:
+                self._checked_at = now
+                self._check_at = now + WATCH_CHECK_SECONDS
+                self._clock.spawn(
+                    lambda: checks.append(self._store.list_stale(self._make_prefix()))
+                )
+            if checks and self._adopt_listing(checks.pop()) is None:
+                return Err(ReadFault.UNAVAILABLE)
+            if self._settings_replica.revision == known_revision:
+                missed_since = None
+            elif missed_since is None:
+                missed_since = now
+            elif now - missed_since >= MISSED_CHANGE_SECONDS:
+                # The object has to be read again, as after a gap in the history.
+                return Err(ReadFault.VERSION_TOO_OLD)
+        return results[0]
+
     def _await_peers(self) -> None:
         # When many nodes start at once, the watchers read the configuration and send it
         # to the others. A node without known peers cannot decide who is a watcher.
@@ -144,15 +211,23 @@
             if self.load() is None or self._settings_replica.revision == 0:
                 self._back_off()
             return
-        interval = FLEET_POLL_SECONDS * self._fleet.count_nodes()
-        wait_left = max(MIN_NODE_POLL_SECONDS, interval * self._rng.uniform(0.5, 1.5))
-        while wait_left > 0:
-            self._clock.sleep(min(WATCHER_CHECK_SECONDS, wait_left))
-            wait_left -= WATCHER_CHECK_SECONDS
+        poll_at = self._clock.now() + self._choose_poll_interval()
+        while (wait_left := poll_at - self._clock.now()) > MIN_WAIT_SECONDS:
+            self._duty_waiter = self._clock.make_waiter()
+            self._duty_waiter.wait(min(WATCHER_CHECK_SECONDS, wait_left))
             if self._fleet.is_watcher():
                 return
+        self._has_polled = True
         self._adopt_listing(self._store.list_stale(self._make_prefix()))
 
+    def _choose_poll_interval(self) -> float:
+        interval = FLEET_POLL_SECONDS * self._fleet.count_nodes()
+        interval = max(MIN_NODE_POLL_SECONDS, interval * self._rng.uniform(0.5, 1.5))
+        if self._has_polled:
+            return interval
+        # Nodes that start together are spread over the interval from the first poll on.
+        return interval * self._rng.random()
+
     def _adopt_listing(self, result: Result[Listing, ReadFault]) -> Position | None:
         if isinstance(result, Err):
             self._note_reachable(False)
@@ -189,6 +264,8 @@
     def _note_reachable(self, reachable: bool) -> None:
         if reachable:
             self._failures = 0
+        else:
+            self._fleet.report_lost()
         if self.reachable is reachable:
             return
         self.reachable = reachable
--- a/src/fuchsiaspool/http/server.py
+++ b/src/fuchsiaspool/http/server.py
@@ -14,11 +14,19 @@
 from ..addresses import Address
 from ..bodies import MAX_BUFFERED_BYTES, Body, Headers, IncompleteBodyError
 from ..calls import Cancellation
-from ..outcomes import Answered, NotRun, NotRunReason, Outcome
+from ..outcomes import (
+    Answered,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Unknown,
+    UnknownReason,
+)
 from .answer_format import DEFAULT_ANSWER_FORMAT, AnswerFormat
 from .channels import Channel
 from .messages import (
     LAST_CHUNK,
+    RECEIVE_BUFFER_BYTES,
     ConnectionClosedError,
     Head,
     HeaderTooLargeError,
@@ -34,9 +42,12 @@
 HEADER_TIMEOUT_SECONDS: Final = 5.0
 STALL_TIMEOUT_SECONDS: Final = 5.0
 BODY_TIMEOUT_SECONDS: Final = 30.0
-# Wait for the first request on a connection that was accepted while stopping: its
+# Wait for the first byte on a connection still open once the listener has closed: its
 # caller has usually sent it already.
-STOPPING_IDLE_TIMEOUT_SECONDS: Final = 0.5
+CLOSED_LISTENER_IDLE_TIMEOUT_SECONDS: Final = 0.5
+# Bounds on what is read and dropped after the last answer on a connection.
+LINGER_SECONDS: Final = 1.0
+MAX_LINGER_BYTES: Final = 8_388_608
 _REASON_PHRASES: Final = {s.value: s.phrase.encode() for s in HTTPStatus}
 
 
@@ -109,7 +120,8 @@
         # on which none has arrived yet.
         self._idle_channels: set[Channel] = set()
         self._new_channels: set[Channel] = set()
-        self.stopping = False
+        self._keep_alive_disabled = False
+        self._listener_closed = False
 
     def start(self) -> None:
         """Bind the address and accept connections."""
@@ -132,18 +144,24 @@
         A later stop then finds fewer idle connections to close, on which a request
         may just be arriving.
         """
-        self.stopping = True
+        self._keep_alive_disabled = True
+
+    def replace_handler(self, handle: RequestHandler) -> None:
+        """Pass the requests that are complete from now on to another handler."""
+        self._handle = handle
 
     def stop_accepting(self) -> CloseSummary:
         """Stop listening and close idle connections; running requests continue.
 
-        Every connection ends after its next answer, and one without a request soon:
-        once `open_connections` is zero, the process may exit.
+        Every connection ends after its next answer: once `open_connections` is zero,
+        the process may exit. A connection ends without a request after
+        `CLOSED_LISTENER_IDLE_TIMEOUT_SECONDS`, or, if its head has begun, after
+        `HEADER_TIMEOUT_SECONDS`. A caller that does not read its answer is cut off
+        after `STALL_TIMEOUT_SECONDS`.
         """
-        self.stopping = True
+        self._keep_alive_disabled = True
+        self._listener_closed = True
         self._server.stop_accepting()
-        accepted = self._accept_waiting()
-        self._server.close()
         idle = unread = 0
         for channel in list(self._idle_channels):
             # A request that has arrived but was not read yet is still served.
@@ -153,8 +171,10 @@
             idle += 1
             self._idle_channels.discard(channel)
             channel.abort()
-        for channel in self._new_channels:
-            channel.set_timeout(STOPPING_IDLE_TIMEOUT_SECONDS)
+        accepted = self._accept_waiting()
+        self._server.close()
+        for channel in self._new_channels | self._idle_channels:
+            channel.set_timeout(CLOSED_LISTENER_IDLE_TIMEOUT_SECONDS)
         return CloseSummary(accepted, idle, unread)
 
     def _accept_waiting(self) -> int:
@@ -163,14 +183,23 @@
         count = 0
         if self._server.closed:
             return count
-        while (accepted := self._server.do_read()) is not None:
-            self._server.do_handle(*accepted)
-            count += 1
+        try:
+            # With all places taken, serving one more would wait for a free place.
+            while (
+                not self._server.full()
+                and (accepted := self._server.do_read()) is not None
+            ):
+                self._server.do_handle(*accepted)
+                count += 1
+        except OSError as error:
+            # Without a free descriptor, for example, a stop goes on all the same.
+            _LOG.warning("not all connections accepted", extra={"detail": str(error)})
         return count
 
     def kill(self) -> None:
         """Stop listening and close every connection immediately."""
-        self.stopping = True
+        self._keep_alive_disabled = True
+        self._listener_closed = True
         self._server.stop(timeout=0)
 
     def _serve(self, socket: Any, peer_address: tuple[str, int]) -> None:
@@ -180,6 +209,8 @@
         try:
             while self._serve_one(channel, reader, peer_address[0]):
                 reader.advance()
+            if not reader.complete or channel.peek() is PeekResult.DATA:
+                _linger(channel)
         except (ConnectionClosedError, IncompleteBodyError, OSError):
             return
         finally:
@@ -208,32 +239,35 @@
         return self._answer(channel, reader, request)
 
     def _await_head(self, channel: Channel, reader: MessageReader) -> Head:
-        if channel in self._new_channels:
-            channel.set_timeout(self._find_idle_timeout())
-            reader.receive()
-            self._new_channels.discard(channel)
-        elif not reader.has_started:
+        if not reader.has_started:
+            self._await_first_byte(channel, reader)
+        if not reader.complete:
+            # Replaces the idle timeout, which may be nearly over or much longer.
+            channel.set_timeout(HEADER_TIMEOUT_SECONDS)
+        return reader.read_head()
+
+    def _await_first_byte(self, channel: Channel, reader: MessageReader) -> None:
+        is_new = channel in self._new_channels
+        if not is_new:
             self._idle_channels.add(channel)
-            try:
-                channel.set_timeout(self._find_idle_timeout())
+        try:
+            channel.set_timeout(self._find_idle_timeout())
+            # Empty lines before a request begin none.
+            while not reader.has_started:
                 reader.receive()
-                if channel not in self._idle_channels:
-                    # The request arrived while the idle connection was being closed,
-                    # so its answer could not be sent.
-                    raise ConnectionClosedError(mid_message=False)
-            finally:
-                self._idle_channels.discard(channel)
-        if reader.complete:
-            return reader.read_head()
-        # The idle timeout is long; a header that has begun gets a shorter one.
-        with gevent.Timeout(HEADER_TIMEOUT_SECONDS, TimeoutError("header stalled")):
-            return reader.read_head()
+            if not is_new and channel not in self._idle_channels:
+                # The request arrived while the idle connection was being closed, so
+                # its answer could not be sent.
+                raise ConnectionClosedError(mid_message=False)
+        finally:
+            self._new_channels.discard(channel)
+            self._idle_channels.discard(channel)
 
     def _find_idle_timeout(self) -> float:
         idle_timeout = self._answer_format.get_idle_timeout()
-        if not self.stopping:
+        if not self._listener_closed:
             return idle_timeout
-        return min(idle_timeout, STOPPING_IDLE_TIMEOUT_SECONDS)
+        return min(idle_timeout, CLOSED_LISTENER_IDLE_TIMEOUT_SECONDS)
 
     def _read_body(self, channel: Channel, reader: MessageReader, head: Head) -> Body:
         if reader.complete:
@@ -255,14 +289,26 @@
         reply = None
         delivered = False
         try:
-            reply = self._handle(request)
-            channel.stop_watching()
-            keep_alive = (
-                request.head.keep_alive and not self.stopping and reader.complete
-            )
-            delivered = _send_reply(
-                channel, request.head.method, reply, keep_alive, self._answer_format
-            )
+            try:
+                reply = self._handle(request)
+                channel.stop_watching()
+                keep_alive = (
+                    request.head.keep_alive
+                    and reader.complete
+                    # A pipelined request that was read still gets its answer.
+                    and (not self._keep_alive_disabled or reader.has_next)
+                )
+                data, stream = _encode_reply(
+                    request.head.method, reply, keep_alive, self._answer_format
+                )
+            except Exception:
+                # Nothing has been sent to the caller yet, but the server may have run
+                # the request.
+                _LOG.exception("request failed")
+                outcome = Unknown(UnknownReason.RESET, "internal error")
+                self._send_error(channel, request.head.method, outcome)
+                return False
+            delivered = _send(channel, data, stream)
             return keep_alive and delivered
         finally:
             channel.stop_watching()
@@ -271,9 +317,24 @@
 
     def _reject(self, channel: Channel, reason: NotRunReason, detail: str) -> None:
         _LOG.info("request refused", extra={"reason": reason.value, "detail": detail})
-        outcome = NotRun(reason, detail)
+        self._send_error(channel, "GET", NotRun(reason, detail))
+
+    def _send_error(self, channel: Channel, method: str, outcome: Outcome) -> None:
         reply = Reply(outcome, [], lambda delivered: None)
-        _send_reply(channel, "GET", reply, False, self._answer_format)
+        _send(channel, *_encode_reply(method, reply, False, self._answer_format))
+
+
+def _linger(channel: Channel) -> None:
+    # Closing a socket with unread bytes resets the connection, which destroys the end
+    # of an answer that the caller has not received yet.
+    channel.end_sending()
+    channel.set_timeout(LINGER_SECONDS)
+    dropped_bytes = 0
+    while dropped_bytes < MAX_LINGER_BYTES:
+        data = channel.recv(RECEIVE_BUFFER_BYTES)
+        if not data:
+            return
+        dropped_bytes += len(data)
 
 
 def _make_cancel_on_close(cancellation: Cancellation) -> Callable[[PeekResult], None]:
@@ -284,13 +345,10 @@
     return cancel_on_close
 
 
-def _send_reply(
-    channel: Channel,
-    method: str,
-    reply: Reply,
-    keep_alive: bool,
-    answer_format: AnswerFormat,
-) -> bool:
+def _encode_reply(
+    method: str, reply: Reply, keep_alive: bool, answer_format: AnswerFormat
+) -> tuple[bytes, Body | None]:
+    """Return the first bytes of an answer, and its body if that is not among them."""
     outcome = reply.outcome
     if isinstance(outcome, Answered):
         status, body = outcome.status, outcome.body
@@ -307,23 +365,23 @@
     if not keep_alive:
         headers.append((b"connection", b"close"))
     start = b"HTTP/1.1 %d %b" % (status, _REASON_PHRASES.get(status, b""))
-    channel.set_stall_timeout(STALL_TIMEOUT_SECONDS)
     if status in (204, 304):
-        channel.send(encode_bodiless_head(start, headers))
-        return True
+        return encode_bodiless_head(start, headers), None
     data = encode_head(start, headers, body.length)
-    if body.fully_buffered:
-        if method != "HEAD":
-            data += body.buffered
-        channel.send(data)
-        return True
-    return _stream_body(channel, data, body)
+    if not body.fully_buffered:
+        return data, body
+    return (data if method == "HEAD" else data + body.buffered), None
 
 
-def _stream_body(channel: Channel, data: bytes, body: Body) -> bool:
+def _send(channel: Channel, data: bytes, stream: Body | None) -> bool:
+    channel.set_stall_timeout(STALL_TIMEOUT_SECONDS)
+    channel.send(data)
+    return stream is None or _stream_body(channel, stream)
+
+
+def _stream_body(channel: Channel, body: Body) -> bool:
     # A truncated body closes the connection without the last chunk or the full
     # length, so that the caller can detect it.
-    channel.send(data)
     sent_bytes = 0
     for piece in body:
         sent_bytes += len(piece)
--- a/src/fuchsiaspool/sidecar.py
+++ b/src/fuchsiaspool/sidecar.py
@@ -11,6 +11,7 @@
 import gevent.event
 
 from .addresses import parse_address
+from .bodies import Headers
 from .calls import Call, compose
 from .clock import SystemClock
 from .configuration_watch import ConfigurationWatch, FleetView
@@ -18,7 +19,6 @@
 from .controllers.anti_entropy import (
     SYNC_PERIOD_SECONDS,
     AntiEntropy,
-    is_assigned,
 )
 from .controllers.availability import make_availability_updater
 from .controllers.backend_server import BackendServer, ServerState
@@ -37,6 +37,7 @@
 from .controllers.store_era import StoreEra
 from .controllers.threshold import LearnedThresholds
 from .controllers.token_bucket import TokenBucket
+from .controllers.watch_duty import WatchDuty
 from .controllers.weighted_round_robin import WeightedRoundRobin
 from .filters.access_log import (
     LocalServerView,
@@ -56,15 +57,21 @@
 from .health_probe import make_health_probe
 from .http.answer_format import AnswerFormat
 from .http.client import ConnectionPool, ExchangeRules, make_call_sender
-from .http.server import HttpServer
+from .http.server import HttpServer, Reply, Request, RequestHandler
 from .ids import Incarnation, RouteName
 from .member_records import Member, MemberState
-from .mesh import NoticeExchange, make_peer_sender
+from .mesh import (
+    OUTCOME_HEADER,
+    NoticeExchange,
+    encode_outcome,
+    make_peer_sender,
+)
 from .metrics import format_metrics
 from .node_load import NodeLoad
 from .options import PlatformOptions, merge_options
-from .outcomes import NotRunReason, Outcome
+from .outcomes import NotRun, NotRunReason, Outcome
 from .peers.bus import PeerBus
+from .peers.messages import StoreLost
 from .peers.transport import PeerTransport
 from .peers.wiring import register_member_handlers
 from .platform.client import make_platform_store
@@ -90,9 +97,6 @@
 from .routes import EMPTY_ROUTE_TABLE, RouteTable
 
 _LOG = logging.getLogger(__name__)
-# Nodes of a region that watch the store; the others get changes by gossip. Two, so that
-# one may fail; a third would only add requests.
-WATCHERS_PER_REGION: Final = 2
 # Pause between probes of a server that has not sent a heartbeat yet.
 PROBE_PAUSE_SECONDS: Final = 0.25
 # Pauses before further reads of the members after a start: nodes that start at the same
@@ -123,6 +127,9 @@
 READINESS_NOTICE_SECONDS: Final = 2.3
 # Requests sent later than this after the signal to stop need not be accepted.
 MAX_ACCEPT_SECONDS: Final = 2.8
+# Time for a request that is under way as the listeners close. What is complete later
+# might not end before the grace does, and is refused.
+LATE_REQUEST_SECONDS: Final = 0.2
 # Share of the grace that is kept for closing connections and exiting. A stop may cut
 # off calls that are still running in the last sixth of the grace.
 EXIT_GRACE_SHARE: Final = 0.15
@@ -130,8 +137,6 @@
 PEER_DEADLINE_GRACE_SECONDS: Final = 0.1
 PEER_IDLE_TIMEOUT_SECONDS: Final = 60.0
 SERVER_DEADLINE_GRACE_SECONDS: Final = 0.05
-# A node without a server, or one that restarts, remains a watcher.
-_WATCHER_STATES: Final = (MemberState.ALIVE, MemberState.LEAVING)
 _MILLISECONDS_PER_SECOND: Final = 1000
 
 
@@ -156,6 +161,7 @@
         self.route_table: RouteTable = EMPTY_ROUTE_TABLE
         self._calls_in_flight: dict[int, Call] = {}
         self._tasks: list[gevent.Greenlet] = []
+        self._watch_task = gevent.Greenlet()
         self.histograms = Histograms()
         self.counters = OutcomeCounters()
         self.members = MemberTable()
@@ -363,7 +369,11 @@
             clock, build_routes, self._adopt_routes, self.bus.send
         )
         register_member_handlers(
-            self.bus, self.membership, self.anti_entropy, self.settings_replica
+            self.bus,
+            self.membership,
+            self.anti_entropy,
+            self.settings_replica,
+            self.store_era,
         )
         self.registry = Registry(
             clock,
@@ -371,7 +381,16 @@
             self.members,
             lambda: self.membership.local_member,
             LONG_LEASE_TIMES,
+            lambda: self.store_era.current,
+        )
+        self.watch_duty = WatchDuty(
+            clock,
+            lambda: self.membership.local_member,
+            self.members,
+            self.bus.send,
+            lambda: self.watch.review_duty(),
         )
+        self.bus.register_handler(StoreLost, self.watch_duty.receive_lost)
         self.watch = ConfigurationWatch(
             clock,
             self.store,
@@ -383,6 +402,7 @@
                 self._is_watcher,
                 self.members.count_live,
                 self.membership.push_gossip_to_region,
+                self.watch_duty.report_lost,
             ),
             self.rng,
         )
@@ -395,6 +415,7 @@
         )
         self.server.add_listener(self._apply_reported_slots)
         self.members.add_listener(self._handle_member_change)
+        self.store_era.add_listener(self._handle_store_restore)
 
     def start(self) -> None:
         """Listen, join the fleet, adopt the newest configuration, then serve."""
@@ -405,7 +426,7 @@
         self._inbound_server.start()
         self._spawn(self._join_loop)
         self._spawn(self._probe_server)
-        self._spawn(self.watch.run)
+        self._watch_task = gevent.spawn(self.watch.run)
         self._spawn(self._run_periodically, PING_PERIOD_SECONDS, self.membership.tick)
         self._spawn(self._run_periodically, SYNC_PERIOD_SECONDS, self.anti_entropy.tick)
         self._spawn(
@@ -414,7 +435,10 @@
         _LOG.info("started", extra={"node": self.options.place.node})
 
     def stop(self) -> None:
-        """Accept no new work, wait for the calls in flight, then stop; this blocks."""
+        """Accept no new work, wait for open connections, then stop; this blocks.
+
+        What is still running or half read near the end of the grace is cut off.
+        """
         if self.state in (NodeState.LEAVING, NodeState.STOPPED):
             return
         self.state = NodeState.LEAVING
@@ -422,6 +446,8 @@
         started = self.clock.now()
         drain_deadline = started + self.options.grace * (1 - EXIT_GRACE_SHARE)
         self.membership.leave()
+        # It goes on watching until it exits; the others are to watch before that.
+        self.watch_duty.report_lost()
         if self.server.state is not ServerState.READY:
             # The server has gone, and its instance with it. With a ready server this
             # node only restarts: peers know that it leaves, and will find it again.
@@ -436,14 +462,19 @@
         while self.admission.in_flight and self.clock.now() < accept_until:
             gevent.sleep(DRAIN_CHECK_SECONDS)
         self.close_listeners()
+        refuse_from = max(accept_until, self.clock.now()) + LATE_REQUEST_SECONDS
+        refusing = gevent.spawn_later(
+            refuse_from - self.clock.now(), self._refuse_requests
+        )
         # A request is a call only once its handler runs; a connection counts from the
         # moment it is accepted.
         while self._count_open_connections() and self.clock.now() < drain_deadline:
             gevent.sleep(DRAIN_CHECK_SECONDS)
+        refusing.kill(block=False)
         for call in self._calls_in_flight.values():
             _LOG.error("call cut off", extra={"request": call.request})
         self.state = NodeState.STOPPED
-        gevent.killall(self._tasks, block=False)
+        gevent.killall([*self._tasks, self._watch_task], block=False)
         _LOG.info(
             "stopped",
             extra={
@@ -473,6 +504,13 @@
                 },
             )
 
+    def _refuse_requests(self) -> None:
+        outcome = NotRun(NotRunReason.LEAVING, "completed too late in a stop")
+        # Without this header a peer could not tell that the request did not run.
+        peer_headers = [(OUTCOME_HEADER, encode_outcome(outcome, 0))]
+        self._inbound_server.replace_handler(_make_refusal(outcome, peer_headers))
+        self._outbound_server.replace_handler(_make_refusal(outcome, []))
+
     def _count_open_connections(self) -> int:
         servers = (self._inbound_server, self._outbound_server)
         return sum(server.open_connections for server in servers)
@@ -480,7 +518,7 @@
     def abort(self) -> None:
         """Stop at once; calls in flight are cut off."""
         self.state = NodeState.STOPPED
-        gevent.killall(self._tasks, block=False)
+        gevent.killall([*self._tasks, self._watch_task], block=False)
         for server in (self._outbound_server, self._inbound_server):
             server.kill()
         for endpoint in self._endpoint_servers:
@@ -583,17 +621,27 @@
         elif member.state is MemberState.ALIVE:
             self.placement.readmit(member.node)
 
+    def _handle_store_restore(self) -> None:
+        self._restart_watch()
+        # Most nodes do not read the store by themselves for a long time.
+        self.membership.push_gossip()
+        self.membership.push_gossip_to_region()
+        self._spawn(
+            self.registry.confirm_after_restore,
+            self.rng,
+            lambda: self.state in (NodeState.LEAVING, NodeState.STOPPED),
+        )
+
+    def _restart_watch(self) -> None:
+        # A watch sent before the restore may wait for a revision of the earlier era.
+        if gevent.getcurrent() is self._watch_task or self.state is NodeState.STOPPED:
+            return
+        self._watch_task.kill(block=False)
+        self._watch_task = gevent.spawn(self.watch.run)
+
     def _is_watcher(self) -> bool:
-        location = self.options.place
-        nodes = [
-            member.node
-            for member in self.members.list_all()
-            if member.region == location.region and member.state in _WATCHER_STATES
-        ]
         # A node that receives nothing from peers has to read the store itself.
-        return self.membership.isolated or is_assigned(
-            location.node, nodes, "watch", WATCHERS_PER_REGION
-        )
+        return self.membership.isolated or self.watch_duty.is_assigned()
 
     def _run_periodically(self, seconds: float, action: Callable[[], None]) -> None:
         gevent.sleep(seconds * self.rng.random())
@@ -634,6 +682,14 @@
         )
 
 
+def _make_refusal(outcome: NotRun, headers: Headers) -> RequestHandler:
+    def refuse(request: Request) -> Reply:
+        _LOG.info("request refused", extra={"reason": outcome.reason.value})
+        return Reply(outcome, headers, lambda delivered: None)
+
+    return refuse
+
+
 def _compute_retry_slack_rate(options: PlatformOptions) -> float:
     """Return the retries per second that a node may send beyond its share."""
     # Every node may add its part: half of the slack, divided by the size of a large
--- a/tests/test_lost_at_stop.py
+++ b/tests/test_lost_at_stop.py
@@ -1,5 +1,7 @@
 """Test that a stop answers requests at each moment of their arrival."""
 
+import os
+import resource
 import unittest
 
 import gevent
@@ -7,8 +9,10 @@
 import msgspec
 from gevent.monkey import get_original
 
-from fuchsiaspool.mesh import CONTEXT_HEADER, MeshContext
+from fuchsiaspool.mesh import CONTEXT_HEADER, MeshContext, MeshOutcome
+from fuchsiaspool.outcomes import NotRunReason
 
+from .callers import make_request, receive_until
 from .sidecar_case import ReceivedRequest, SidecarTestCase
 from .support import ScriptedServer, make_options, start_node
 
@@ -28,6 +32,11 @@
     return ReceivedRequest.answer(request)
 
 
+def answer_for_long(request):
+    gevent.sleep(0.4)
+    return ReceivedRequest.answer(request)
+
+
 class LostAtStopTests(SidecarTestCase):
     def setUp(self):
         super().setUp()
@@ -125,6 +134,101 @@
         self.check_answered(kept[0])
 
 
+class RequestDuringStopTests(SidecarTestCase):
+    def connect(self, node=None):
+        address = (node or self.edge).options.outbound
+        socket = gevent.socket.create_connection((address.host, address.port))
+        self.addCleanup(socket.close)
+        return socket
+
+    def exit_after_stop(self, node):
+        started = node.clock.now()
+        node.stop()
+        node.abort()
+        return node.clock.now() - started
+
+    def test_a_connection_made_after_the_signal_stays_open_while_listening(self):
+        self.start_pair()
+        gevent.spawn(self.edge.stop)
+        gevent.sleep(0.1)
+        socket = self.connect()
+        # The listeners close 1.0 s after the signal, this request comes 0.3 s before.
+        gevent.sleep(0.6)
+        socket.sendall(make_request())
+        self.assertIn(b"fine", receive_until(socket, b"fine"))
+
+    def test_a_slow_head_after_the_signal_is_served_while_listening(self):
+        self.start_pair()
+        gevent.spawn(self.edge.stop)
+        gevent.sleep(0.1)
+        socket = self.connect()
+        request = make_request()
+        socket.sendall(request[:40])
+        gevent.sleep(0.3)
+        socket.sendall(request[40:60])
+        gevent.sleep(0.3)
+        socket.sendall(request[60:])
+        self.assertIn(b"fine", receive_until(socket, b"fine"))
+
+    def complete_late(self, name, script, address, pause, extra=b""):
+        """Return what a caller gets whose request ends `pause` seconds into a stop."""
+        self.start_pair(script)
+        node = getattr(self, name)
+        target = getattr(node.options, address)
+        socket = gevent.socket.create_connection((target.host, target.port))
+        self.addCleanup(socket.close)
+        request = make_request()[:-2] + extra + b"\r\n"
+        gevent.sleep(0.05)
+        stopping = gevent.spawn(self.exit_after_stop, node)
+        gevent.sleep(0.5)
+        socket.sendall(request[:-2])
+        gevent.sleep(pause - 0.5)
+        socket.sendall(request[-2:])
+        received = receive_until(socket, b"}")
+        stopping.get(timeout=3)
+        return received
+
+    def check_refused(self, received):
+        # Nobody ran it, and the caller may send it again at once.
+        self.assertEqual(self.server.requests, [])
+        self.assertIn(b"HTTP/1.1 503 ", received)
+        self.assertIn(b"\r\nretry-after: ", received)
+        self.assertIn(b"\r\nconnection: close", received)
+
+    def test_a_request_completed_late_in_a_stop_is_refused(self):
+        # The listeners close after 1.0 s; the stop waits until 1.7 s, and the server
+        # works for 0.4 s.
+        received = self.complete_late("edge", answer_for_long, "outbound", 1.5)
+        self.check_refused(received)
+        self.assertNotIn(b"fuchsiaspool-outcome", received)
+
+    def test_a_call_of_a_peer_completed_late_in_a_stop_is_refused(self):
+        context = MeshContext("a1", "registry", "quota", 1.0, False, 900.0, 0)
+        line = b"%b: %b\r\n" % (CONTEXT_HEADER, msgspec.json.encode(context))
+        received = self.complete_late("deep", answer_for_long, "inbound", 1.5, line)
+        self.check_refused(received)
+        head, _, _ = received.partition(b"\r\n\r\n")
+        _, _, values = head.partition(b"fuchsiaspool-outcome: ")
+        outcome = msgspec.json.decode(values.partition(b"\r\n")[0], type=MeshOutcome)
+        self.assertEqual(outcome.not_run, NotRunReason.LEAVING)
+
+    def test_a_stop_without_free_descriptors_ends(self):
+        self.start_pair()
+        stopping = gevent.spawn(self.edge.stop)
+        gevent.sleep(0.9)
+        limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+        spare = os.open("/dev/null", os.O_RDONLY)
+        os.close(spare)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (spare, limits[1]))
+        try:
+            gevent.sleep(0.3)
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+        stopping.join(2.0)
+        self.assertIsNone(stopping.exception)
+        self.assertTrue(self.edge.stopped.is_set())
+
+
 class LostAtStopOfNodeTests(unittest.TestCase):
     def test_a_request_half_sent_as_the_listeners_close_gets_no_answer(self):
         server = ScriptedServer(b"")
