Never give a revision of the tree out twice

Cause: a change gets the revision after the root's. A restored root gives a revision out again that nodes hold with other content.

Change: the program that applies a change takes a revision above all of earlier eras: era 2 begins at 1000001. In the first era and in a store without one, revisions go on as before.

--- a/src/fuchsiaspool/commands/trees.py
+++ b/src/fuchsiaspool/commands/trees.py
@@ -5,6 +5,7 @@
 import random
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Final
 
@@ -13,7 +14,8 @@
 from ..addresses import Address
 from ..clock import SystemClock
 from ..control import SettingsExport
-from ..ids import Revision, SubtreePath, TeamName
+from ..controllers.store_era import StoreEra
+from ..ids import Era, Revision, SubtreePath, TeamName
 from ..operations.commits import make_nonce
 from ..platform.client import make_platform_store
 from ..platform.objects import PlatformStore
@@ -106,8 +108,11 @@
         print("nothing to change", file=sys.stderr)
         return ExitCode.DONE
     proposal = Proposal(base, changed, TeamName(options.team), options.token)
-    store = _connect_store(options.platform)
-    result = apply_proposal(SystemClock(), store, proposal, make_nonce)
+    store_era = StoreEra()
+    store = _connect_store(options.platform, store_era.observe)
+    result = apply_proposal(
+        SystemClock(), store, proposal, make_nonce, lambda: store_era.current
+    )
     match result:
         case Ok(revision):
             return _report_accepted(options, revision, changed)
@@ -200,11 +205,15 @@
     return None
 
 
-def _connect_store(address: Address | None) -> PlatformStore:
+def _connect_store(
+    address: Address | None, observe_era: Callable[[Era], None] = lambda era: None
+) -> PlatformStore:
     if address is None:
         print("--platform IP:port is required", file=sys.stderr)
         sys.exit(ExitCode.USAGE)
-    return make_platform_store(address, SystemClock(), random.Random())
+    return make_platform_store(
+        address, SystemClock(), random.Random(), observe_era=observe_era
+    )
 
 
 def _load_accepted_tree(address: Address | None) -> LoadedTree | None:
--- a/src/fuchsiaspool/settings/store.py
+++ b/src/fuchsiaspool/settings/store.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from ..clock import Clock
-from ..ids import Nonce, Revision, SubtreePath, TeamName, Version
+from ..ids import Era, Nonce, Revision, SubtreePath, TeamName, Version
 from ..platform.objects import (
     Ambiguous,
     Applied,
@@ -38,6 +38,8 @@
 TEXTS_PREFIX: Final = f"{SETTINGS_PREFIX}texts/"
 # More missing texts than this are read by one list, as the platform limits requests.
 MAX_SINGLE_READS: Final = 3
+# More changes than one era of the store will see.
+REVISIONS_PER_ERA: Final = 1_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,8 +143,12 @@
     store: PlatformStore,
     proposal: Proposal,
     make_nonce: Callable[[], Nonce],
+    get_era: Callable[[], Era] = lambda: Era(0),
 ) -> Result[Revision, ApplyFault]:
-    """Publish a proposal, rebased on changes of other subtrees."""
+    """Publish a proposal, rebased on changes of other subtrees.
+
+    `get_era` returns the era of the store as of its last answer.
+    """
     change_nonce = make_nonce()
     for _ in range(MAX_REBASE_ATTEMPTS):
         loaded = load_tree(store)
@@ -152,11 +158,12 @@
         fault = _check_proposal(tree, proposal)
         if fault is not None:
             return Err(fault)
-        root = _write_texts(clock, store, tree, proposal, change_nonce)
+        revision = choose_next_revision(tree.root.revision, get_era())
+        root = _write_texts(clock, store, tree, proposal, revision, change_nonce)
         if root is None:
             return Err(PlatformUnavailable())
         outcome = write_and_confirm(
-            clock, store, _make_root_write(root, tree, change_nonce)
+            clock, store, make_root_write(root, tree, change_nonce)
         )
         match outcome:
             case Applied():
@@ -171,6 +178,21 @@
     return Err(PlatformUnavailable())
 
 
+def choose_next_revision(highest: Revision, era: Era) -> Revision:
+    """Return a revision above `highest` and above all that earlier eras gave out.
+
+    A restored store has a root with a lower revision than nodes may hold.
+    """
+    return Revision(max(highest, max(era - 1, 0) * REVISIONS_PER_ERA) + 1)
+
+
+def append_to_history(
+    history: list[HistoryEntry], entry: HistoryEntry
+) -> list[HistoryEntry]:
+    """Return the history with one more change, without the oldest if it is full."""
+    return [*history, entry][-MAX_HISTORY_ENTRIES:]
+
+
 def _check_proposal(tree: LoadedTree, proposal: Proposal) -> ApplyFault | None:
     texts = tree.snapshot.texts
     for path, text in proposal.texts.items():
@@ -193,9 +215,9 @@
     store: PlatformStore,
     tree: LoadedTree,
     proposal: Proposal,
+    revision: Revision,
     nonce: Nonce,
 ) -> TreeRoot | None:
-    revision = Revision(tree.root.revision + 1)
     subtrees = dict(tree.root.subtrees)
     replaced = []
     for path, text in proposal.texts.items():
@@ -213,13 +235,11 @@
     entry = HistoryEntry(
         revision, nonce, proposal.team, clock.wall(), list(proposal.texts), replaced
     )
-    history = [*tree.root.history, entry][-MAX_HISTORY_ENTRIES:]
-    return TreeRoot(revision, subtrees, history)
+    return TreeRoot(revision, subtrees, append_to_history(tree.root.history, entry))
 
 
-def _make_root_write(
-    root: TreeRoot, tree: LoadedTree, nonce: Nonce
-) -> ConditionalWrite:
+def make_root_write(root: TreeRoot, tree: LoadedTree, nonce: Nonce) -> ConditionalWrite:
+    """Return the write of a root that replaces the one that was read."""
     return ConditionalWrite(
         SETTINGS_ROOT_KEY,
         msgspec.json.encode(root),
