Write back what a restored store has lost of the settings tree

Operators could see an accepted change reverted by the next change of another subtree, or by a node that starts from the store, after the store had been restored from an older copy.

Cause: the change was in the memory of nodes only, and nothing wrote it again.

Change: a node that has seen the era rise compares each tree that it reads with its own before it adopts it. What the stored one lacks is written back, conditional on the root as it was read, so that one node wins; under the former revision if nothing else was changed, else as the next revision with both, since nodes hold the former one without the operator's change. A change of the same subtree after the restore is the later decision and stays. Without a restore nothing is compared or written. A watcher whose first read fails reads again instead of waiting for the next change.

--- a/src/fuchsiaspool/components.py
+++ b/src/fuchsiaspool/components.py
@@ -182,7 +182,13 @@
             get_era=lambda: self.store_era.current,
         )
         self.watch = SettingsWatch(
-            self.clock, self.store, self.settings_replica, self.is_watcher, self.rng
+            self.clock,
+            self.store,
+            self.settings_replica,
+            self.is_watcher,
+            self.rng,
+            self.store_era,
+            make_nonce,
         )
         core.policies.add_listener(lambda policy: self.membership.push_gossip())
         core.members.add_listener(self._remove_dead)
