Write back claims and answers that a restored store has lost

A caller that resends a protected request after the platform's store was restored from an older copy could have it run twice, or lose the answer that was kept.

Cause: records were in the store only; a cached shard was written under a revision that the store had given out again, over the records of another node.

--- a/src/fuchsiaspool/components.py
+++ b/src/fuchsiaspool/components.py
@@ -112,6 +112,7 @@
     def _build_operations(self) -> None:
         node = self.options.place.node
         committer = GroupCommitter(self.clock, node, self.store)
+        self.store_era.add_listener(committer.handle_restore)
         self._commit_router = ShardCommitRouter(
             self.clock,
             node,
