--- a/src/fuchsiaspool/components.py
+++ b/src/fuchsiaspool/components.py
@@ -112,6 +112,7 @@
     def _build_operations(self) -> None:
         node = self.options.place.node
         committer = GroupCommitter(self.clock, node, self.store)
+        self.store_era.add_listener(committer.handle_restore)
         self._commit_router = ShardCommitRouter(
             self.clock,
             node,
@@ -182,7 +183,13 @@
             get_era=lambda: self.store_era.current,
         )
         self.watch = SettingsWatch(
-            self.clock, self.store, self.settings_replica, self.is_watcher, self.rng
+            self.clock,
+            self.store,
+            self.settings_replica,
+            self.is_watcher,
+            self.rng,
+            self.store_era,
+            make_nonce,
         )
         core.policies.add_listener(lambda policy: self.membership.push_gossip())
         core.members.add_listener(self._remove_dead)
