Repair an announcement after a second restore too

A node's announcement stayed lost if the store was restored again within five seconds of the first repair.

Change: the repair goes on as long as the era has risen since it looked.

Measured: the new test failed before and passes.

--- a/src/fuchsiaspool/controllers/registry.py
+++ b/src/fuchsiaspool/controllers/registry.py
@@ -154,15 +154,21 @@
         The store may have lost it, and then nodes that start later would not find this
         one, or may have brought back one that was withdrawn.
         """
-        spread = self._table.count_live() / CONFIRMATIONS_PER_SECOND
-        self._clock.sleep(rng.uniform(0.0, spread))
+        repaired_era: Era | None = None
+        while self._get_era() != repaired_era:
+            spread = self._table.count_live() / CONFIRMATIONS_PER_SECOND
+            self._clock.sleep(rng.uniform(0.0, spread))
+            self._repair_once(rng)
+            repaired_era = self._get_era()
+            self._clock.sleep(CONFIRM_PAUSE_SECONDS)
+
+    def _repair_once(self, rng: random.Random) -> None:
         backoff = MIN_CONFIRM_BACKOFF_SECONDS
         while not self._withdrawn and not self.ensure_announced():
             self._clock.sleep(backoff * rng.uniform(0.7, 1.3))
             backoff = min(2 * backoff, MAX_CONFIRM_BACKOFF_SECONDS)
         if self._withdrawn:
             self._delete_own_announcement()
-        self._clock.sleep(CONFIRM_PAUSE_SECONDS)
 
     def withdraw(self) -> None:
         """Delete the announcement, unless a later process has written it.
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -11,6 +11,7 @@
 from fuchsiaspool.controllers.anti_entropy import is_assigned
 from fuchsiaspool.controllers.member_table import MemberTable
 from fuchsiaspool.controllers.registry import (
+    CONFIRM_PAUSE_SECONDS,
     MEMBERS_PREFIX,
     LeaseTimes,
     Registry,
@@ -279,6 +280,15 @@
         self.restore_without_announcements()
         self.await_announcements(self.nodes)
 
+    def test_announcements_lost_by_a_second_restore_are_written_again(self):
+        self.start_pair()
+        for _ in range(2):
+            self.restore_without_announcements()
+            gevent.sleep(1.0)
+        # A repair is followed by a pause.
+        gevent.sleep(CONFIRM_PAUSE_SECONDS)
+        self.await_announcements(self.nodes)
+
     def test_nodes_that_do_not_watch_announce_themselves_again(self):
         self.start_pair()
         # With so many nodes the polls of five are not all due within the bound.
