Declare leaving members dead that answer no ping

After a scale-in or a replacement of servers, both watchers of a region could be nodes that had gone, for up to ten minutes.

Cause: a node that stops sets its record to LEAVING, and only ALIVE members were suspected. A LEAVING member that had gone kept its state for 600 s and remained a candidate for watching. Its own report that it stops counts for 8 s.

Change: a LEAVING member that does not answer is timed like a suspect, and is DEAD after 4 s of silence. Its state is above SUSPECT, so it keeps it and is not told. Hence the node that times it pings it each second, directly and through others; any ack from it, also a relayed one, ends the timing. Such a member counts towards the isolation of the judge once, not with each ping, or three departures at once would look like an isolation for good. Nothing is declared during an isolation; after it, and after a pause of the judge, the timing starts again. A member wrongly declared dead refutes as before, and stays LEAVING.

Evidence: on the old code, the tests that departed members are dead and that others watch fail, and so does the test that a member cut off is declared dead and returns. The tests that a member which answers, restarts within 3 s or belongs to others of an isolated node is not declared dead pass before and after. Without the repeated pings, relayed acks or the restart of the timing, one of them fails.

Open: peers judge only members of their data centre, so the last node of one that leaves stays LEAVING elsewhere for 600 s, as before.

--- a/src/fuchsiaspool/controllers/membership.py
+++ b/src/fuchsiaspool/controllers/membership.py
@@ -52,12 +52,16 @@
         self._send = send
         self._sequence = 0
         self._ack_timers: dict[int, Timer] = {}
+        self._pinged: dict[int, NodeId] = {}
         self._relayed_pings: dict[int, tuple[int, Address]] = {}
         self.gossip = GossipQueue(table)
         self._ping_order: list[NodeId] = []
         self._unresponsive: set[NodeId] = set()
         self._ticks = 0
         self._suspected_at: dict[NodeId, float] = {}
+        # Leaving members that answer no ping. Their state is above that of a suspect,
+        # so only this node knows of it, until it declares them dead.
+        self._silent_since: dict[NodeId, float] = {}
         self._departed_at: dict[NodeId, float] = {}
         self._last_tick = clock.now()
         self._push_scheduled = False
@@ -70,12 +74,19 @@
         if now - self._last_tick > MIN_PAUSE_SECONDS:
             self._handle_pause()
         self._last_tick = now
-        self._expire_suspects()
+        if not self.isolated:
+            self._declare_dead(self._suspected_at, MemberState.SUSPECT)
+            self._declare_dead(self._silent_since, MemberState.LEAVING)
         self._remove_tombstones()
         self._ticks += 1
         target = self._next_ping_target()
         if target is not None:
             self._ping(target)
+        # A suspect is told and can refute; a silent member can only answer a ping.
+        for node in list(self._silent_since):
+            member = self._table.find(node)
+            if member is not None and member is not target:
+                self._ping(member)
         if self._ticks % DEAD_CONTACT_PERIODS == 0:
             self._contact_dead_member()
 
@@ -148,9 +159,12 @@
     def receive_ack(self, message: Ack, envelope: Envelope) -> None:
         """End the wait for an ack, or relay the ack of an indirect ping."""
         self.rejoining = False
+        self._silent_since.pop(envelope.sender, None)
         timer = self._ack_timers.pop(message.sequence, None)
         if timer is not None:
             timer.stop()
+            # Another peer may have relayed it.
+            self._silent_since.pop(self._pinged.pop(message.sequence), None)
             self._retract_suspicions()
         relay = self._relayed_pings.pop(message.sequence, None)
         if relay is not None:
@@ -182,6 +196,7 @@
             ACK_TIMEOUT_SECONDS, lambda: self._ping_indirectly(sequence, target)
         )
         self._ack_timers[sequence] = timer
+        self._pinged[sequence] = target.node
         address = parse_address(target.peers)
         if target.state in _SUSPECT_OR_DEAD:
             # The target can refute only a suspicion that it has received.
@@ -204,8 +219,14 @@
 
     def _mark_suspect(self, sequence: int, target: Member) -> None:
         self._ack_timers.pop(sequence, None)
+        self._pinged.pop(sequence, None)
+        if target.node in self._silent_since:
+            # It is pinged each period, and counted among the unresponsive only once.
+            return
         self._unresponsive.add(target.node)
         known = self._table.find(target.node)
+        if known is not None and known.state is MemberState.LEAVING:
+            self._silent_since[target.node] = self._clock.now()
         if known is None or known.state is not MemberState.ALIVE:
             return
         suspect = msgspec.structs.replace(known, state=MemberState.SUSPECT)
@@ -223,17 +244,21 @@
             if member is not None and member.state is MemberState.SUSPECT:
                 alive = msgspec.structs.replace(member, state=MemberState.ALIVE)
                 self._table.overwrite(alive)
+        if self.isolated:
+            self._restart_timing()
         self._unresponsive.clear()
 
-    def _expire_suspects(self) -> None:
-        if self.isolated:
-            return
+    def _restart_timing(self) -> None:
+        # Silence that began while this node heard nobody proves nothing.
+        self._silent_since = dict.fromkeys(self._silent_since, self._clock.now())
+
+    def _declare_dead(self, timed: dict[NodeId, float], state: MemberState) -> None:
         now = self._clock.now()
-        for node, since in list(self._suspected_at.items()):
+        for node, since in list(timed.items()):
             if now - since < SUSPICION_TIMEOUT_SECONDS:
                 continue
             member = self._table.find(node)
-            if member is not None and member.state is MemberState.SUSPECT:
+            if member is not None and member.state is state:
                 dead = msgspec.structs.replace(member, state=MemberState.DEAD)
                 self._table.merge(dead)
 
@@ -242,6 +267,7 @@
         for node, since in list(self._departed_at.items()):
             if now - since >= TOMBSTONE_SECONDS:
                 del self._departed_at[node]
+                self._silent_since.pop(node, None)
                 self._table.remove(node)
 
     def _choose_in_other_data_centres(self) -> list[Member]:
@@ -271,6 +297,7 @@
         if member.state is not MemberState.SUSPECT:
             self._schedule_push()
         self._suspected_at.pop(member.node, None)
+        self._silent_since.pop(member.node, None)
         self._departed_at.pop(member.node, None)
         if member.state is MemberState.SUSPECT:
             if member.data_centre == self.local_member.data_centre:
@@ -292,6 +319,7 @@
     def _handle_pause(self) -> None:
         # Peers may have declared this node dead: it takes no work until one answers.
         self.rejoining = any(True for _ in self._list_peers())
+        self._restart_timing()
         self._set_local_member(
             self.local_member.state, Incarnation(self.local_member.incarnation + 1)
         )
--- a/src/fuchsiaspool/controllers/watch_duty.py
+++ b/src/fuchsiaspool/controllers/watch_duty.py
@@ -24,7 +24,8 @@
 # Longer than a watcher without the store takes from one attempt to the next, and than a
 # node takes to restart.
 LOST_SECONDS: Final = 8.0
-# A node without a server, or one that restarts, remains a watcher.
+# A node without a server, or one that restarts, remains a watcher. One that has left
+# for good answers no ping, so it is dead after some seconds.
 _WATCHER_STATES: Final = (MemberState.ALIVE, MemberState.LEAVING)
 _DUTY: Final = "watch"
 
--- a/tests/test_configuration_faults.py
+++ b/tests/test_configuration_faults.py
@@ -1,20 +1,27 @@
 """Test how soon nodes learn of a change while the store refuses or ignores some."""
 
+import random
 import unittest
 
 import gevent
 
+from fuchsiaspool.clock import VirtualClock
 from fuchsiaspool.configuration_watch import (
     WATCH_TIMEOUT_SECONDS,
     ConfigurationWatch,
     FleetView,
 )
 from fuchsiaspool.controllers.member_table import MemberTable
-from fuchsiaspool.controllers.watch_duty import LOST_SECONDS, WatchDuty
+from fuchsiaspool.controllers.watch_duty import (
+    LOST_SECONDS,
+    WATCHERS_PER_REGION,
+    WatchDuty,
+)
 from fuchsiaspool.ids import DataCentre, Revision, Version
 from fuchsiaspool.peers.messages import Envelope, StoreLost
 from fuchsiaspool.platform.objects import PlatformStore, ReadFault, WatchBatch
 from fuchsiaspool.results import Err, Ok
+from fuchsiaspool.standins.network import StandinNetwork
 
 from .sidecar_case import SidecarTestCase
 from .support import make_member
@@ -35,6 +42,8 @@
 SILENT_WATCH_SECONDS = WATCH_TIMEOUT_SECONDS + 2.2
 PEER_DELAYS_SECONDS = (0.001, 0.3)
 MESSAGE_LOSS = 0.05
+# From the exit of a member that has announced it until all take it for dead.
+DEPARTURE_DETECTION_SECONDS = 10
 
 
 class DutyFleet(Fleet):
@@ -272,6 +281,65 @@
         self.assertEqual(fleet.duties[0]._lost_at, {})
 
 
+class DepartureTests(unittest.TestCase):
+    def setUp(self):
+        random.seed(1)
+        self.network = StandinNetwork(VirtualClock())
+        self.duties = {}
+
+    def add(self, count):
+        for data_centre in ("north-1", "north-2"):
+            for number in range(count):
+                contacts = [*self.duties][:1] + [*self.duties][-1:]
+                name = f"{data_centre}-{number}"
+                peer = self.network.add(name, data_centre, "north", contacts)
+                self.add_duty(peer)
+        self.network.run(15)
+
+    def add_duty(self, peer):
+        duty = WatchDuty(
+            self.network.clock,
+            lambda: peer.membership.local_member,
+            peer.table,
+            peer.bus.send,
+            lambda: None,
+        )
+        peer.bus.register_handler(StoreLost, duty.receive_lost)
+        self.duties[peer] = duty
+
+    def list_watchers(self):
+        return [peer for peer, duty in self.duties.items() if duty.is_assigned()]
+
+    def test_others_watch_soon_after_both_watchers_left_for_good(self):
+        for count in (3, 9, 20):
+            with self.subTest(nodes=2 * count):
+                self.setUp()
+                self.add(count)
+                gone = self.list_watchers()
+                self.assertEqual(len(gone), WATCHERS_PER_REGION)
+                for peer in gone:
+                    peer.membership.leave()
+                    self.duties[peer].report_lost()
+                self.network.run(1)
+                for peer in gone:
+                    self.network.remove(peer)
+                    del self.duties[peer]
+                self.network.run(DEPARTURE_DETECTION_SECONDS)
+                # From then on, and not only until the reports are too old.
+                for _ in range(30):
+                    self.assertEqual(len(self.list_watchers()), WATCHERS_PER_REGION)
+                    self.network.run(1)
+
+    def test_watchers_without_a_server_keep_watching(self):
+        self.add(9)
+        watchers = self.list_watchers()
+        for peer in watchers:
+            peer.membership.leave()
+        for _ in range(60):
+            self.network.run(1)
+            self.assertEqual(self.list_watchers(), watchers)
+
+
 class NodeTests(SidecarTestCase):
     def test_node_that_stops_tells_others_that_it_does_not_watch(self):
         self.start_pair()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -30,6 +30,7 @@
 from .support import SETTINGS_TEXTS, make_member
 
 CRASH_DETECTION_SECONDS = 10
+DEPARTURE_DETECTION_SECONDS = 10
 SETTINGS_SPREAD_SECONDS = 7
 MAX_READS_PER_SECOND = 2000
 MAX_WRITES_PER_SECOND = 300
@@ -65,6 +66,15 @@
             SettingsSnapshot(Revision(revision), dict(SETTINGS_TEXTS), paths)
         )
 
+    def record_deaths(self, peers):
+        """Return a list that gets each record of a dead member that a peer stores."""
+        deaths = []
+        for peer in peers:
+            peer.table.add_listener(
+                lambda member: member.state is DEAD and deaths.append(member)
+            )
+        return deaths
+
     def list_node_ids(self, peers):
         return {peer.membership.local_member.node for peer in peers}
 
@@ -103,6 +113,115 @@
             )
             self.assertEqual(len(peer.find_nodes(ALIVE)), 29)
 
+    def test_leaving_members_that_fall_silent_are_dead_for_all_in_time(self):
+        for count, departures in ((3, 1), (6, 2), (18, 2), (40, 3)):
+            with self.subTest(nodes=count, departures=departures):
+                self.setUp()
+                peers = self.add_peers(count)
+                gone, rest = peers[:departures], peers[departures:]
+                for peer in gone:
+                    peer.membership.leave()
+                self.network.run(2)
+                for peer in gone:
+                    self.network.remove(peer)
+                self.network.run(DEPARTURE_DETECTION_SECONDS)
+                for peer in rest:
+                    self.assertEqual(peer.find_nodes(DEAD), self.list_node_ids(gone))
+                    self.assertEqual(peer.find_nodes(ALIVE), self.list_node_ids(rest))
+
+    def test_departure_of_most_members_is_detected(self):
+        peers = self.add_peers(6)
+        gone, rest = peers[:4], peers[4:]
+        for peer in gone:
+            peer.membership.leave()
+        self.network.run(2)
+        for peer in gone:
+            self.network.remove(peer)
+        # The silence of several in a row first looks like an isolation of the judge.
+        self.network.run(2 * DEPARTURE_DETECTION_SECONDS)
+        for peer in rest:
+            self.assertEqual(peer.find_nodes(DEAD), self.list_node_ids(gone))
+
+    def test_leaving_member_that_answers_is_never_declared_dead(self):
+        peers = self.add_peers(20)
+        leaving = peers[5]
+        leaving.membership.leave()
+        deaths = self.record_deaths(peers)
+        rng = random.Random(3)
+        self.network.is_partitioned = lambda a, b: rng.random() < 0.05
+        self.network.run(300)
+        self.assertNotIn("north-1-5", {member.node for member in deaths})
+        self.network.is_partitioned = lambda a, b: False
+        self.network.run(10)
+        for peer in peers:
+            self.assertEqual(peer.find_nodes(LEAVING), {"north-1-5"})
+
+    def test_relayed_ack_ends_the_silence_of_a_leaving_member(self):
+        peers = self.add_peers(3)
+        judge, leaving = peers[:2]
+        leaving.membership.leave()
+        self.network.run(2)
+        self.network.is_partitioned = lambda a, b: leaving in (a, b)
+        self.network.run(3)
+        self.network.is_partitioned = lambda a, b: {a, b} == {judge, leaving}
+        deaths = self.record_deaths(peers)
+        self.network.run(60)
+        self.assertEqual(deaths, [])
+        for peer in peers:
+            self.assertEqual(peer.find_nodes(LEAVING), {"north-1-1"})
+
+    def test_leaving_member_that_restarts_soon_is_never_declared_dead(self):
+        peers = self.add_peers(18)
+        peers[5].membership.leave()
+        self.network.run(2)
+        self.network.remove(peers[5])
+        self.network.run(3)
+        restarted = self.network.add("north-1-5", contacts=peers[:2])
+        # As a node starts: its server has not reported yet.
+        restarted.membership.leave()
+        peers[5] = restarted
+        deaths = self.record_deaths(peers)
+        self.network.run(15)
+        self.assertEqual(deaths, [])
+        restarted.membership.mark_available()
+        self.network.run(3)
+        for peer in peers:
+            self.assertIn("north-1-5", peer.find_nodes(ALIVE))
+
+    def test_leaving_member_that_was_declared_dead_returns_as_leaving(self):
+        peers = self.add_peers(10)
+        cut_off = peers[4]
+        cut_off.membership.leave()
+        self.network.run(2)
+        self.network.is_partitioned = lambda a, b: cut_off in (a, b)
+        self.network.run(DEPARTURE_DETECTION_SECONDS)
+        for peer in peers[:4] + peers[5:]:
+            self.assertEqual(peer.find_nodes(DEAD), {"north-1-4"})
+        self.network.is_partitioned = lambda a, b: False
+        self.network.run(10)
+        for peer in peers:
+            self.assertEqual(peer.find_nodes(LEAVING), {"north-1-4"})
+
+    def test_isolated_node_declares_no_leaving_member_dead(self):
+        peers = self.add_peers(12)
+        isolated = peers[0]
+        for peer in peers[1:]:
+            peer.membership.leave()
+        self.network.run(3)
+        deaths = self.record_deaths(peers[:1])
+        self.network.is_partitioned = lambda a, b: isolated in (a, b)
+        self.network.run(60)
+        # The first peer that is heard again proves nothing about the others.
+        self.network.is_partitioned = lambda a, b: (
+            isolated in (a, b) and peers[1] not in (a, b)
+        )
+        while isolated.membership.isolated:
+            self.network.run(1)
+        self.network.run(2)
+        self.network.is_partitioned = lambda a, b: False
+        self.network.run(20)
+        self.assertEqual(deaths, [])
+
     def test_only_the_members_of_a_failed_rack_are_removed(self):
         peers = self.add_peers(40)
         for peer in peers[:8]:
