Give a run of the tests twice as many ports

Change: a block has 2,400 ports; eight blocks still end below the range that the kernel uses for outgoing connections (10000 to 29199, 32768).

--- a/tests/support.py
+++ b/tests/support.py
@@ -140,7 +140,7 @@
 
 # Below the range of ports that the kernel uses for outgoing connections.
 FIRST_PORT = 10_000
-PORTS_PER_RUN = 1_200
+PORTS_PER_RUN = 2_400
 MAX_TEST_RUNS = 8
 
 
