Share what tests of stops and of delayed watches repeat

Change: the connection of a caller, a stop up to the exit, and the change made while watches are on their way stand once each; two comments use the field's word. No check changes.

--- a/tests/sidecar_case.py
+++ b/tests/sidecar_case.py
@@ -191,6 +191,20 @@
         self.await_condition(lambda: self.edge.members.list_service("quota"))
         self.await_condition(lambda: self.edge.state is NodeState.READY)
 
+    def connect(self, node=None):
+        """Return a connection of a caller beside a node."""
+        address = (node or self.edge).options.outbound
+        socket = gevent.socket.create_connection((address.host, address.port))
+        self.addCleanup(socket.close)
+        return socket
+
+    def exit_after_stop(self, node):
+        """Stop a node and end it as its process would; return the seconds it took."""
+        started = node.clock.now()
+        node.stop()
+        node.abort()
+        return node.clock.now() - started
+
     def send_request(self, path="/read/x", method="GET", node=None, **headers):
         fields = {"Host": "h.example", "Fuchsiaspool-Attempt-Id": "a1"}
         fields["Fuchsiaspool-Deadline-Ms"] = "900"
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -42,7 +42,7 @@
 
     def __init__(self, soak, mode):
         self.soak, self.rng, self.mode = soak, soak.rng, mode
-        # As (begin, end): disturbances that are not planned work, and of the store.
+        # As (begin, end): disruptions that are not planned work, and of the store.
         self.unplanned, self.store_faults = [], []
         # As (time, copy of the store).
         self.copies = []
--- a/tests/test_configuration_faults.py
+++ b/tests/test_configuration_faults.py
@@ -35,7 +35,7 @@
 
 # The users' limit for a change to take effect where the store serves all nodes.
 CALM_LIMIT_SECONDS = 2.5
-# Time after a disturbance of the store from which on the limit counts.
+# Time after a disruption of the store from which on the limit counts.
 STABILITY_SECONDS = 4.0
 # Time that the client waits for an answer, its margins included.
 LIST_TIMEOUT_SECONDS = 1.2
--- a/tests/test_lost_at_stop.py
+++ b/tests/test_lost_at_stop.py
@@ -136,18 +136,6 @@
 
 
 class RequestDuringStopTests(SidecarTestCase):
-    def connect(self, node=None):
-        address = (node or self.edge).options.outbound
-        socket = gevent.socket.create_connection((address.host, address.port))
-        self.addCleanup(socket.close)
-        return socket
-
-    def exit_after_stop(self, node):
-        started = node.clock.now()
-        node.stop()
-        node.abort()
-        return node.clock.now() - started
-
     def test_a_connection_made_after_the_signal_stays_open_while_listening(self):
         self.start_pair()
         gevent.spawn(self.edge.stop)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -169,11 +169,11 @@
         self.write_configuration(10)
         self.await_served(10, self.nodes)
 
-    def test_a_watch_from_a_revision_of_the_earlier_era_misses_no_change(self):
+    def change_while_watches_are_on_their_way(self):
+        """Restore the store and write version 11 before it sees watches from 40."""
         self.start_pair()
         self.advance_revision(30)
         copy = self.store.take_copy()
-        # The watches that follow version 9 arrive at the store after the restore.
         self.await_condition(lambda: self.platform.request_counts.watches >= 2)
         watches = self.platform.request_counts.watches
         self.platform.faults.delay = 1.0
@@ -184,6 +184,9 @@
         )
         self.store.restore(copy)
         self.write_configuration(11, revision=33)
+
+    def test_a_watch_from_a_revision_of_the_earlier_era_misses_no_change(self):
+        self.change_while_watches_are_on_their_way()
         # The answer to these watches is not empty, but lacks the change.
         self.put(ObjectKey("config/other"), b"{}", revision=44)
         self.advance_revision(45)
@@ -193,19 +196,7 @@
     def test_a_watch_that_waits_for_a_revision_of_the_earlier_era_misses_no_change(
         self,
     ):
-        self.start_pair()
-        self.advance_revision(30)
-        copy = self.store.take_copy()
-        self.await_condition(lambda: self.platform.request_counts.watches >= 2)
-        watches = self.platform.request_counts.watches
-        self.platform.faults.delay = 1.0
-        self.write_configuration(9, revision=40)
-        self.await_served(9, self.nodes)
-        self.await_condition(
-            lambda: self.platform.request_counts.watches == watches + 2
-        )
-        self.store.restore(copy)
-        self.write_configuration(11, revision=33)
+        self.change_while_watches_are_on_their_way()
         # The store has the revision again and nothing to tell, so no answer comes.
         self.advance_revision(45)
         self.platform.faults.delay = 0.0
--- a/tests/test_stop_under_load.py
+++ b/tests/test_stop_under_load.py
@@ -22,18 +22,6 @@
 
 
 class StopUnderLoadTests(SidecarTestCase):
-    def connect(self, node=None):
-        address = (node or self.edge).options.outbound
-        socket = gevent.socket.create_connection((address.host, address.port))
-        self.addCleanup(socket.close)
-        return socket
-
-    def exit_after_stop(self, node):
-        started = node.clock.now()
-        node.stop()
-        node.abort()
-        return node.clock.now() - started
-
     def test_a_stop_under_load_loses_no_request_that_was_passed_on(self):
         def answer(request):
             gevent.sleep(0.02)
