--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -444,11 +444,15 @@
         lines.append(f"Fuchsiaspool-Deadline-Ms: {int(deadline_s * 1000)}")
         if body or method == "POST":
             lines.append(f"Content-Length: {len(body)}")
-        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
-        await writer.drain()
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        await self.write_body(writer, body)
         head = await read_head(reader)
         return head, await read_body(reader, head)
 
+    async def write_body(self, writer, body):
+        writer.write(body)
+        await writer.drain()
+
     def close(self):
         if self._streams is not None:
             self._streams[1].close()
