--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -468,7 +468,7 @@
             broken = await asyncio.wait_for(play(fleet), 105)
             fleet.record.say("rule broken" if broken else "rule held")
             return BROKEN if broken else HELD
-        except (CouldNotRun, asyncio.TimeoutError) as error:
+        except Exception as error:
             fleet.record.say("could not run:", repr(error))
             return COULD_NOT_RUN
         finally:
